Add the design page and the shared base of the programs

The project starts with its contract: docs/design.md lists requirements, modules, state, messages and behaviour under failure. The base holds what all programs share: error kinds with their answers, numbered events, logs, metrics, host settings, the environment document, the messages between programs over pynng, the platform adapter and two stand-ins.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; ``make bench`` runs them."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo fleet; ``make demo`` runs it."""
--- /dev/null
+++ b/egretmill/accounts/keys.py
@@ -0,0 +1,22 @@
+"""Creation and digests of API keys; only digests are ever stored."""
+
+import hashlib
+import secrets
+
+__all__ = ('KEY_PREFIX', 'digest_of', 'new_key')
+
+KEY_PREFIX = 'egk_'
+# 24 random bytes (192 bits) make a plain SHA-256 digest safe against
+# guessing, so the digest needs no salt and can be looked up in an index.
+KEY_RANDOM_BYTES = 24
+
+
+def new_key() -> str:
+    """Return a new random key, to be shown to its owner once."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_RANDOM_BYTES)
+
+
+def digest_of(key: str) -> str:
+    """Return ``sha256:<hex>`` of a key."""
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return f'sha256:{digest}'
--- /dev/null
+++ b/egretmill/events.py
@@ -0,0 +1,217 @@
+"""Numbered log events; ``docs/events.md`` is generated from this table.
+
+Numbers are never reused. Ranges: 1xx program life, 2xx configuration,
+3xx requests and routing, 4xx quota, 5xx ledger, 6xx membership, 7xx
+look-ups, 8xx malformed input.
+"""
+
+import dataclasses
+import logging
+from collections.abc import Iterator
+
+__all__ = ('CATALOGUE', 'Event', 'catalogue_markdown')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """A kind of log line: number, name, level and what it tells."""
+
+    number: int
+    name: str
+    level: int
+    text: str
+
+
+class CATALOGUE:
+    """All events, one class attribute each."""
+
+    STARTED = Event(
+        101,
+        'started',
+        logging.INFO,
+        'The program listens on its addresses.',
+    )
+    STOPPING = Event(
+        102,
+        'stopping',
+        logging.INFO,
+        'A graceful shutdown has begun.',
+    )
+    STOPPED = Event(
+        103,
+        'stopped',
+        logging.INFO,
+        'The program has ended; says how many requests were cut.',
+    )
+    AGENT_LOST = Event(
+        104,
+        'agent_lost',
+        logging.WARNING,
+        'The local agent does not answer; the last state stays in use.',
+    )
+    AGENT_BACK = Event(
+        105,
+        'agent_back',
+        logging.INFO,
+        'The local agent answers again.',
+    )
+    CONFIGURATION_APPLIED = Event(
+        201,
+        'configuration_applied',
+        logging.INFO,
+        'A newer version of the environment document is in force.',
+    )
+    CONFIGURATION_REJECTED = Event(
+        202,
+        'configuration_rejected',
+        logging.ERROR,
+        'A received document is damaged, invalid or older.',
+    )
+    PROMOTED = Event(
+        203,
+        'promoted',
+        logging.INFO,
+        'A promotion was accepted by the platform through this agent.',
+    )
+    PROMOTION_REFUSED = Event(
+        204,
+        'promotion_refused',
+        logging.WARNING,
+        'A promotion was refused; says by which rule.',
+    )
+    PLATFORM_LOST = Event(
+        205,
+        'platform_lost',
+        logging.WARNING,
+        'The platform does not answer within the deadline.',
+    )
+    PLATFORM_BACK = Event(
+        206,
+        'platform_back',
+        logging.INFO,
+        'The platform answers again.',
+    )
+    REQUEST_ROUTED = Event(
+        301,
+        'request_routed',
+        logging.INFO,
+        'Site and upstream chosen for one attempt, with the reasons.',
+    )
+    REQUEST_ANSWERED = Event(
+        302,
+        'request_answered',
+        logging.INFO,
+        'The answer was sent in full; says outcome and duration.',
+    )
+    REQUEST_REFUSED = Event(
+        303,
+        'request_refused',
+        logging.INFO,
+        'The request got an error answer; says kind and outcome.',
+    )
+    REQUEST_BROKEN = Event(
+        304,
+        'request_broken',
+        logging.WARNING,
+        'The connection to the caller was closed before the answer ended.',
+    )
+    REQUEST_RETRIED = Event(
+        305,
+        'request_retried',
+        logging.INFO,
+        'An attempt failed and another upstream is tried.',
+    )
+    SHARE_SLOT_ACQUIRED = Event(
+        401,
+        'share_slot_acquired',
+        logging.INFO,
+        'This host holds a share slot and may use what the slot owns.',
+    )
+    SHARE_SLOT_LOST = Event(
+        402,
+        'share_slot_lost',
+        logging.WARNING,
+        'The lease of the share slot has ended or was taken over.',
+    )
+    LOAN_GRANTED = Event(
+        403,
+        'loan_granted',
+        logging.DEBUG,
+        'A part of an owned share was lent to a peer.',
+    )
+    LOAN_RECEIVED = Event(
+        404,
+        'loan_received',
+        logging.DEBUG,
+        'A peer lent a part of its share.',
+    )
+    CLAIM_DECIDED = Event(
+        501,
+        'claim_decided',
+        logging.INFO,
+        'A claim for an idempotency key was decided; says how.',
+    )
+    PEER_UP = Event(
+        601,
+        'peer_up',
+        logging.INFO,
+        'A peer answers heartbeats.',
+    )
+    PEER_DOWN = Event(
+        602,
+        'peer_down',
+        logging.WARNING,
+        'A peer has missed its heartbeats.',
+    )
+    PEER_RESTARTED = Event(
+        603,
+        'peer_restarted',
+        logging.INFO,
+        'A peer answers with a higher incarnation.',
+    )
+    LOOKUP_ANSWERED = Event(
+        701,
+        'lookup_answered',
+        logging.INFO,
+        'Entry hosts were chosen for a caller, with the reasons.',
+    )
+    MALFORMED_FRAME = Event(
+        801,
+        'malformed_frame',
+        logging.WARNING,
+        'A frame between programs could not be decoded.',
+    )
+    HANDLER_FAILED = Event(
+        802,
+        'handler_failed',
+        logging.ERROR,
+        'A handler failed with an unexpected exception.',
+    )
+
+    @classmethod
+    def all_events(cls) -> Iterator[Event]:
+        """Yield every declared event in the order of its number."""
+        found = [item for item in vars(cls).values() if isinstance(item, Event)]
+        yield from sorted(found, key=lambda event: event.number)
+
+
+def catalogue_markdown() -> str:
+    """Return the text of ``docs/events.md``."""
+    lines = [
+        '# Log events',
+        '',
+        'Generated by `python -m egretmill.events`; a test compares it.',
+        '',
+        '| number | name | level | meaning |',
+        '|---|---|---|---|',
+    ]
+    for event in CATALOGUE.all_events():
+        level = logging.getLevelName(event.level)
+        lines.append(
+            f'| {event.number} | `{event.name}` | {level} | {event.text} |',
+        )
+    return '\n'.join(lines) + '\n'
+
+
+if __name__ == '__main__':
+    print(catalogue_markdown(), end='')  # noqa: WPS421
--- /dev/null
+++ b/egretmill/settings/__init__.py
@@ -0,0 +1,23 @@
+"""Host settings: addresses, failure domain, platform, logs, metrics."""
+
+from egretmill.settings.model import (
+    HostSettings,
+    LogSettings,
+    MetricsSettings,
+    PlatformSettings,
+    PortSettings,
+    TimingSettings,
+)
+from egretmill.settings.toml import Problem, decode_toml, load_settings
+
+__all__ = (
+    'HostSettings',
+    'LogSettings',
+    'MetricsSettings',
+    'PlatformSettings',
+    'PortSettings',
+    'Problem',
+    'TimingSettings',
+    'decode_toml',
+    'load_settings',
+)
--- /dev/null
+++ b/egretmill/settings/model.py
@@ -0,0 +1,75 @@
+"""Validated model of the host settings file."""
+
+from typing import Annotated, Literal
+
+import msgspec
+
+__all__ = (
+    'HostSettings',
+    'LogSettings',
+    'MetricsSettings',
+    'PlatformSettings',
+    'PortSettings',
+    'TimingSettings',
+)
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all settings tables; unknown fields are errors."""
+
+
+class PortSettings(Model):
+    """TCP ports on the host's address."""
+
+    entry: Port = 8080
+    steer: Port = 8081
+    agent: Port = 8090
+    entry_peer: Port = 8091
+
+
+class PlatformSettings(Model):
+    """Where the platform's service answers, and the deadline per call."""
+
+    url: Annotated[str, msgspec.Meta(pattern='^https?://[^ ]+$')]
+    timeout_s: Seconds = 0.5
+
+
+class LogSettings(Model):
+    """Format and level of the logs on standard error."""
+
+    format: Literal['text', 'json'] = 'text'
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+
+
+class MetricsSettings(Model):
+    """Address of the statsd server; no table means no metrics."""
+
+    host: str
+    port: Port = 8125
+
+
+class TimingSettings(Model):
+    """Intervals of the control loops and the limit of a shutdown."""
+
+    platform_poll_s: Seconds = 0.5
+    heartbeat_s: Seconds = 0.5
+    agent_poll_s: Seconds = 0.1
+    drain_s: Seconds = 6.0
+    shutdown_limit_s: Seconds = 60.0
+
+
+class HostSettings(Model):
+    """Settings of one host, shared by its programs."""
+
+    name: Name
+    failure_domain: Name
+    address: str
+    platform: PlatformSettings
+    ports: PortSettings = PortSettings()
+    log: LogSettings = LogSettings()
+    timing: TimingSettings = TimingSettings()
+    metrics: MetricsSettings | None = None
--- /dev/null
+++ b/egretmill/store/__init__.py
@@ -0,0 +1,21 @@
+"""Access to the platform: table service, object store and host list."""
+
+from egretmill.store.http import StoreClient
+from egretmill.store.ports import (
+    HostList,
+    Hosts,
+    ObjectStore,
+    Put,
+    Row,
+    TableService,
+)
+
+__all__ = (
+    'HostList',
+    'Hosts',
+    'ObjectStore',
+    'Put',
+    'Row',
+    'StoreClient',
+    'TableService',
+)
--- /dev/null
+++ b/egretmill/wire/messages.py
@@ -0,0 +1,309 @@
+"""Messages between the programs of the system (msgpack, tagged).
+
+Times are seconds. A field that ends in ``_at`` is a reading of the
+monotonic clock and is only sent between programs of one machine; messages
+between machines carry ages and durations.
+"""
+
+from typing import Literal
+
+import msgspec
+
+__all__ = (
+    'Acknowledged',
+    'Borrow',
+    'Claim',
+    'ClaimDecision',
+    'DocumentBody',
+    'ErrorReply',
+    'Explain',
+    'Explained',
+    'FetchDocument',
+    'Heartbeat',
+    'HostRecord',
+    'HostState',
+    'Loan',
+    'Loans',
+    'Message',
+    'PeerState',
+    'PullState',
+    'RecordAnswer',
+    'Request',
+    'ShareSlot',
+    'StoredAnswer',
+    'UpstreamRecord',
+    'decode',
+    'encode',
+)
+
+
+class Record(msgspec.Struct, frozen=True):
+    """Base of parts of messages."""
+
+
+class Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of messages; the tag is the class name."""
+
+
+class HostRecord(Record):
+    """An entry host of the platform's host list."""
+
+    name: str
+    failure_domain: str
+    address: str
+    entry_port: int
+    steer_port: int
+    agent_port: int
+    entry_peer_port: int
+    state: Literal['live', 'leaving'] = 'live'
+
+
+class UpstreamRecord(Record):
+    """An upstream of the platform's host list."""
+
+    name: str
+    service: str
+    site: str
+    address: str
+    port: int
+    slots: int
+    max_connections: int
+    state: Literal['live', 'leaving'] = 'live'
+
+
+class ShareSlot(Record):
+    """The share slot that this host holds.
+
+    ``index`` counts over the whole fleet in the order of the document.
+    """
+
+    index: int
+    total: int
+    lease_until_at: float
+    acquired_at: float
+
+
+class PeerState(Record):
+    """What the local agent knows of an entry host."""
+
+    host: HostRecord
+    incarnation: int
+    version: int
+    reachable: bool
+    leaving: bool
+    entry_ready: bool
+    slot_index: int | None = None
+
+
+class PullState(Message):
+    """A local program reports itself and asks for the host's state."""
+
+    program: Literal['entry', 'steer']
+    incarnation: int
+    known_version: int
+    ready: bool = True
+    leaving: bool = False
+
+
+class HostState(Message):
+    """Answer to :class:`PullState`.
+
+    ``document`` is empty when the asker already has ``version``.
+    ``confirmed_at`` is the monotonic time at which ``version`` was last
+    confirmed as the newest. ``settled_version`` is the lowest version that
+    any holder of a share slot may still apply.
+    """
+
+    host: str
+    version: int
+    document: bytes
+    confirmed_at: float
+    settled_version: int
+    slot: ShareSlot | None
+    peers: tuple[PeerState, ...]
+    upstreams: tuple[UpstreamRecord, ...]
+    blocks_digest: str = ''
+
+
+class StoredAnswer(Record):
+    """The recorded answer of an idempotency key."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Claim(Message):
+    """An entry asks to own an idempotency key before it sends work."""
+
+    account: str
+    idempotency_key: str
+    request_digest: str
+    attempt_id: str
+    timeout_s: float
+
+
+class ClaimDecision(Message):
+    """Answer to :class:`Claim`; ``answer`` belongs to ``repeat``.
+
+    ``granted``: run it. ``repeat``: done before, with its answer.
+    ``not_stored``: done before, the answer was too large to keep.
+    ``in_progress``: a live owner runs it. ``owner_lost``: may have run.
+    ``mismatch``: other account or body. ``unavailable``: the platform did
+    not decide and no claim was made that the caller could rely on.
+    """
+
+    status: Literal[
+        'granted',
+        'repeat',
+        'not_stored',
+        'in_progress',
+        'owner_lost',
+        'mismatch',
+        'unavailable',
+    ]
+    answer: StoredAnswer | None = None
+
+
+class RecordAnswer(Message):
+    """An entry records how a claimed request ended.
+
+    ``released`` says that no byte was sent, so the claim may be made again.
+    """
+
+    account: str
+    idempotency_key: str
+    attempt_id: str
+    state: Literal['done', 'unknown', 'released']
+    answer: StoredAnswer | None = None
+
+
+class Acknowledged(Message):
+    """The message was carried out."""
+
+
+class ErrorReply(Message):
+    """The message was not carried out; ``kind`` is an ``ErrorKind``."""
+
+    kind: str
+    detail: str = ''
+
+
+class Heartbeat(Message):
+    """State of one host, sent to each peer; the answer is of this type.
+
+    ``confirmation_age_s`` is the age of the last confirmation that
+    ``version`` is the newest; ``platform_age_s`` the age of the last
+    platform answer that this host itself received.
+    """
+
+    host: str
+    incarnation: int
+    version: int
+    confirmation_age_s: float
+    platform_age_s: float
+    leaving: bool
+    entry_ready: bool
+    slot_index: int | None = None
+
+
+class FetchDocument(Message):
+    """Ask a peer for the document of at least ``version``."""
+
+    version: int
+
+
+class DocumentBody(Message):
+    """The newest document that a host has."""
+
+    version: int
+    digest: str
+    body: bytes
+
+
+class Borrow(Message):
+    """An entry asks a peer for a part of its share of one total.
+
+    ``amount`` is a rate per second for rate totals and a number of slots
+    for concurrency totals. ``renews`` names a loan that this one replaces.
+    """
+
+    borrower: str
+    incarnation: int
+    total: str
+    version: int
+    amount: float
+    tokens: float
+    duration_s: float
+    renews: str = ''
+
+
+class Loan(Message):
+    """A part of the lender's share, for ``duration_s`` from the request.
+
+    ``capacity`` and ``tokens`` belong to rate totals; for concurrency
+    totals ``amount`` is the number of slots.
+    """
+
+    loan_id: str
+    total: str
+    amount: float
+    capacity: float
+    tokens: float
+    duration_s: float
+
+
+class Loans(Message):
+    """Answer to :class:`Borrow`; empty when nothing can be spared."""
+
+    loans: tuple[Loan, ...] = ()
+
+
+class Explain(Message):
+    """An operator asks how a request would be decided."""
+
+    method: str
+    path: str
+    key_digest: str = ''
+
+
+class Explained(Message):
+    """The decision step by step, one line each."""
+
+    lines: tuple[str, ...]
+
+
+Request = (
+    PullState
+    | Claim
+    | RecordAnswer
+    | Heartbeat
+    | FetchDocument
+    | Borrow
+    | Explain
+)
+Reply = (
+    HostState
+    | ClaimDecision
+    | Acknowledged
+    | ErrorReply
+    | Heartbeat
+    | DocumentBody
+    | Loans
+    | Explained
+)
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Request | Reply)
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message."""
+    return ENCODER.encode(message)
+
+
+def decode(frame: bytes) -> Message:
+    """Decode and validate a frame.
+
+    :raises msgspec.DecodeError: the frame is malformed.
+    """
+    return DECODER.decode(frame)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams, with fault switches."""
--- /dev/null
+++ b/tests/wire/test_peer.py
@@ -0,0 +1,62 @@
+"""Calls between programs survive malformed frames and silent servers."""
+
+import asyncio
+import socket
+
+import pynng
+from result import Err, Ok
+
+from egretmill.errors import ErrorKind
+from egretmill.metrics import Metrics
+from egretmill.wire import Peer, Server, messages
+
+ADDRESS = '127.0.0.1'
+
+
+def free_port() -> int:
+    """Return a TCP port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((ADDRESS, 0))
+        return probe.getsockname()[1]
+
+
+async def acknowledge(message):
+    """Carry out nothing."""
+    return Ok(messages.Acknowledged())
+
+
+async def test_malformed_frame_gets_an_error_reply():
+    """Guards against a program that dies of a malformed frame."""
+    port = free_port()
+    server = Server(ADDRESS, port, acknowledge, Metrics(None))
+    server.start()
+    with pynng.Req0(dial=f'tcp://{ADDRESS}:{port}') as client:
+        await client.asend(b'\xc1 not msgpack')
+        reply = messages.decode(await client.arecv())
+    assert reply.kind == ErrorKind.MALFORMED_FRAME
+    peer = Peer(ADDRESS, port)
+    assert await peer.call(messages.FetchDocument(1), 1) == Ok(
+        messages.Acknowledged(),
+    )
+    peer.close()
+    server.close()
+
+
+async def test_silent_server_is_dialled_again():
+    """Guards against a silent connection that harms later calls."""
+    port = free_port()
+    silent = await asyncio.start_server(
+        lambda reader, writer: asyncio.sleep(60),
+        ADDRESS,
+        port,
+    )
+    peer = Peer(ADDRESS, port)
+    answer = await peer.call(messages.FetchDocument(1), 0.2)
+    assert isinstance(answer, Err)
+    assert answer.err_value.kind is ErrorKind.PEER_UNREACHABLE
+    silent.close()
+    server = Server(ADDRESS, port, acknowledge, Metrics(None))
+    server.start()
+    assert isinstance(await peer.call(messages.FetchDocument(1), 2), Ok)
+    peer.close()
+    server.close()
