Add routing and admission aggregates

The entry program needs a choice of site and upstream and an admission queue that is fair between client accounts.

Routing keeps one view per upstream: own in-flight count, mean and peak latency, load report with age, failures with probes, shed answers, drains from four sources and a ramp for cold upstreams. Sites are taken in the order preferred, own region, others, inside the limits that the entry program supplies. Four upstream policies are registered by name.

Admission is a deficit round robin over client accounts with one ring per service, bounded and deadline aware, and an asyncio gate around it.

Ruled out: ending an announced drain by a load report alone, because a late report would bring new work to a leaving upstream; counting every timeout as a failure, because a caller with a short deadline would take healthy upstreams out.

--- /dev/null
+++ b/egretmill/routing/policies.py
@@ -0,0 +1,123 @@
+"""Policies that choose one upstream of a site."""
+
+import random
+from collections.abc import Mapping, Sequence
+from types import MappingProxyType
+from typing import ClassVar
+
+from result import Err, Ok, Result
+
+from egretmill.errors import ErrorKind, Failure
+from egretmill.routing.view import UpstreamView
+
+__all__ = (
+    'POLICIES',
+    'LeastInFlight',
+    'LeastLoadLatency',
+    'PeakEwma',
+    'Policy',
+    'TwoChoices',
+    'get_policy',
+)
+
+#: Latency that is assumed before the first answer, in seconds.
+UNKNOWN_LATENCY_S = 0.01
+
+
+class Policy:
+    """Base of the policies: the lowest cost wins, ties are random."""
+
+    name: ClassVar[str] = ''
+
+    def choose(
+        self,
+        views: Sequence[UpstreamView],
+        now: float,
+        rng: random.Random,
+    ) -> UpstreamView:
+        """Return one of the views; there is at least one."""
+        costs = [self.cost(view, now) for view in views]
+        lowest = min(costs)
+        best = [
+            view
+            for view, cost in zip(views, costs, strict=True)
+            if cost <= lowest
+        ]
+        return rng.choice(best)
+
+    def cost(self, view: UpstreamView, now: float) -> float:
+        """Return the cost of one more request at an upstream."""
+        raise NotImplementedError
+
+
+class LeastInFlight(Policy):
+    """Fewest own requests in flight per slot; uses no report."""
+
+    name = 'least-in-flight'
+
+    def cost(self, view: UpstreamView, now: float) -> float:
+        """Return own requests per slot."""
+        return (view.in_flight + 1) / max(view.record.slots, 1)
+
+
+class TwoChoices(LeastInFlight):
+    """The better of two random upstreams, by own requests in flight."""
+
+    name = 'two-choices'
+
+    def choose(
+        self,
+        views: Sequence[UpstreamView],
+        now: float,
+        rng: random.Random,
+    ) -> UpstreamView:
+        """Return the better of two random views."""
+        pair = rng.sample(views, min(2, len(views)))
+        return min(pair, key=lambda view: self.cost(view, now))
+
+
+class PeakEwma(Policy):
+    """Lowest product of peak latency and own requests in flight."""
+
+    name = 'peak-ewma'
+
+    def cost(self, view: UpstreamView, now: float) -> float:
+        """Return the expected time to work off the own requests."""
+        latency_s = view.latency.peak_s or UNKNOWN_LATENCY_S
+        return latency_s * (view.in_flight + 1)
+
+
+class LeastLoadLatency(Policy):
+    """Lowest expected time from corrected reports and mean latency.
+
+    The load is the report corrected by own requests, so that hosts see each
+    other's requests; the mean latency exposes an upstream that reports
+    itself idle while it is slow.
+    """
+
+    name = 'least-load-latency'
+
+    def cost(self, view: UpstreamView, now: float) -> float:
+        """Return the expected time of one more request."""
+        latency_s = view.latency.mean_s or UNKNOWN_LATENCY_S
+        slots = max(view.record.slots * view.ramp.level_at(now), 1)
+        return latency_s * (1 + view.load(now)) / slots
+
+
+#: All policies by their declared name.
+POLICIES: Mapping[str, type[Policy]] = MappingProxyType(
+    {
+        policy.name: policy
+        for policy in (LeastInFlight, TwoChoices, PeakEwma, LeastLoadLatency)
+    }
+)
+
+
+def get_policy(name: str) -> Result[Policy, Failure]:
+    """Return a new policy by its declared name."""
+    found = POLICIES.get(name)
+    if found is None:
+        known = ', '.join(sorted(POLICIES))
+        detail = f'no policy {name!r}; known are {known}'
+        return Err(Failure(ErrorKind.NOT_FOUND, detail))
+    return Ok(found())
--- /dev/null
+++ b/egretmill/routing/router.py
@@ -0,0 +1,263 @@
+"""Choice of site and upstream for one request."""
+
+import random
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from egretmill.document import Environment
+from egretmill.errors import ErrorKind, Failure
+from egretmill.routing.decision import Decision
+from egretmill.routing.policies import Policy
+from egretmill.routing.sites import (
+    Limits,
+    SiteReader,
+    SiteVerdict,
+    SiteView,
+    Tier,
+    site_order,
+    spills,
+)
+from egretmill.routing.upstreams import UpstreamTable
+from egretmill.routing.view import UpstreamView, Verdict
+
+__all__ = ('Router',)
+
+#: Verdicts of sites that could take the request at another time.
+SHORT = frozenset(
+    (
+        SiteVerdict.NO_FREE_SLOTS,
+        SiteVerdict.REDUCED,
+        SiteVerdict.SHIFT_CAP,
+        SiteVerdict.LINK_BUDGET,
+        SiteVerdict.BUSY,
+    )
+)
+NONE_TRIED: frozenset[str] = frozenset()
+SiteRow = tuple[Tier, str, str]
+
+
+class Router:
+    """Chooses for the entry host of one failure domain.
+
+    :param host_domain: failure domain of this host.
+    :param policy: chooses among the upstreams of a site.
+    :param rng: source of all random choices.
+    """
+
+    def __init__(
+        self,
+        table: UpstreamTable,
+        host_domain: str,
+        policy: Policy,
+        rng: random.Random,
+    ) -> None:
+        self.table = table
+        self.host_domain = host_domain
+        self.policy = policy
+        self.rng = rng
+
+    def choose(
+        self,
+        service: str,
+        environment: Environment,
+        limits: Limits,
+        now: float,
+        exclude: frozenset[str] = NONE_TRIED,
+    ) -> Result[Decision, Failure]:
+        """Choose a site and an upstream.
+
+        :param exclude: names of upstreams that were tried; the choice is
+            then a retry and is refused while the site of one of them sheds
+            load as a whole.
+        """
+        if self._retry_meets_shedding(exclude, now):
+            detail = 'no retry while the whole site sheds load'
+            return Err(Failure(ErrorKind.UPSTREAM_SHED, detail))
+        order = site_order(environment, service, self.host_domain)
+        reader = self._reader(service, environment, limits, now, exclude)
+        seen: list[SiteView] = []
+        site = self._choose_site(order, reader, seen)
+        if site is None:
+            return Err(_failure(service, seen))
+        view = self._choose_upstream(site, now)
+        decision = Decision(
+            service,
+            site.name,
+            view.record,
+            self.policy.name,
+            reader.preferred,
+            reader.from_region,
+            site.region,
+            _reasons(seen, site, view, now),
+        )
+        return Ok(decision)
+
+    def explain(
+        self,
+        service: str,
+        environment: Environment,
+        limits: Limits,
+        now: float,
+        exclude: frozenset[str] = NONE_TRIED,
+    ) -> tuple[str, ...]:
+        """Return every candidate with its verdict, then the choice.
+
+        The state of the random numbers is left as it was.
+        """
+        order = site_order(environment, service, self.host_domain)
+        reader = self._reader(service, environment, limits, now, exclude)
+        lines = []
+        for tier, name, region in order:
+            lines.extend(self._explain_site(reader, name, region, tier))
+        state = self.rng.getstate()
+        chosen = self.choose(service, environment, limits, now, exclude)
+        self.rng.setstate(state)
+        if isinstance(chosen, Err):
+            failure = chosen.err_value
+            return (*lines, f'refused: {failure.kind}: {failure.detail}')
+        return (*lines, f'chosen: {chosen.ok_value}')
+
+    def _reader(
+        self,
+        service: str,
+        environment: Environment,
+        limits: Limits,
+        now: float,
+        exclude: frozenset[str],
+    ) -> SiteReader:
+        order = site_order(environment, service, self.host_domain)
+        return SiteReader(
+            self.table,
+            limits,
+            service,
+            order[0][1] if order else '',
+            environment.region_of_domain(self.host_domain),
+            now,
+            exclude,
+        )
+
+    def _retry_meets_shedding(
+        self,
+        exclude: frozenset[str],
+        now: float,
+    ) -> bool:
+        for name in exclude:
+            view = self.table.views.get(name)
+            if view is None:
+                continue
+            record = view.record
+            if self.table.site_sheds(record.service, record.site, now):
+                return True
+        return False
+
+    def _choose_site(
+        self,
+        order: list[SiteRow],
+        reader: SiteReader,
+        seen: list[SiteView],
+    ) -> SiteView | None:
+        best: SiteView | None = None
+        for tier in Tier:
+            if best is not None and not self._looks_on(best, tier):
+                break
+            found = [
+                reader.read(name, region, at_tier)
+                for at_tier, name, region in order
+                if at_tier == tier
+            ]
+            seen.extend(found)
+            best = self._better(best, found)
+        return best
+
+    def _looks_on(self, best: SiteView, tier: Tier) -> bool:
+        # Another region costs a long round trip, so it is used only when
+        # the own region is full.
+        if tier == Tier.OTHER_REGION:
+            return False
+        return spills(best, self.rng)
+
+    def _better(
+        self,
+        best: SiteView | None,
+        found: list[SiteView],
+    ) -> SiteView | None:
+        opened = [site for site in found if site.verdict == SiteVerdict.OPEN]
+        self.rng.shuffle(opened)
+        if best is not None:
+            opened.insert(0, best)
+        return min(opened, key=lambda site: site.utilisation, default=None)
+
+    def _choose_upstream(self, site: SiteView, now: float) -> UpstreamView:
+        views = site.views
+        # A due probe goes first: it is one request, and only it can bring
+        # the upstream back.
+        probes = [view for view in views if view.health.left_out]
+        if probes:
+            return probes[0]
+        flowing = [view for view in views if not view.stalled(now)] or views
+        with_room = [
+            view for view in flowing if view.load(now) < view.record.slots
+        ]
+        return self.policy.choose(with_room or flowing, now, self.rng)
+
+    def _explain_site(
+        self,
+        reader: SiteReader,
+        name: str,
+        region: str,
+        tier: Tier,
+    ) -> Iterator[str]:
+        site = reader.read(name, region, tier)
+        yield (
+            f'site {name} ({tier.name.lower()}): {site.verdict}, '
+            + f'{site.free} free, {site.running} running, '
+            + f'capacity {site.capacity}'
+        )
+        for view in self.table.at(reader.service, name):
+            yield f'  {_explain_upstream(view, reader)}'
+
+
+def _explain_upstream(view: UpstreamView, reader: SiteReader) -> str:
+    verdict = view.verdict(reader.now)
+    if view.record.name in reader.exclude:
+        verdict = Verdict.EXCLUDED
+    text = str(verdict)
+    if view.drains:
+        text = f'{text} ({", ".join(sorted(view.drains))})'
+    return (
+        f'upstream {view.record.name}: {text}, '
+        + f'{view.in_flight}/{view.limit(reader.now)} own in flight, '
+        + f'load {view.load(reader.now)}/{view.record.slots}, '
+        + f'latency {view.latency.mean_s * 1000:.1f} ms'
+    )
+
+
+def _reasons(
+    seen: list[SiteView],
+    site: SiteView,
+    view: UpstreamView,
+    now: float,
+) -> tuple[str, ...]:
+    passed = [
+        f'{other.name}: {other.verdict}'
+        for other in seen
+        if other is not site and other.verdict != SiteVerdict.OPEN
+    ]
+    taken = (
+        f'{site.name}: {site.running}/{site.capacity} running, '
+        + f'{len(site.views)} candidates, load {view.load(now)}, '
+        + f'latency {view.latency.mean_s * 1000:.1f} ms'
+    )
+    return (*passed, taken)
+
+
+def _failure(service: str, seen: list[SiteView]) -> Failure:
+    detail = ', '.join(f'{site.name}: {site.verdict}' for site in seen)
+    verdicts = {site.verdict for site in seen}
+    if verdicts & SHORT:
+        return Failure(ErrorKind.OVERLOADED, detail)
+    if SiteVerdict.SHEDS in verdicts:
+        return Failure(ErrorKind.UPSTREAM_SHED, detail)
+    detail = detail or f'no site serves {service}'
+    return Failure(ErrorKind.NO_UPSTREAM, detail)
--- /dev/null
+++ b/egretmill/routing/upstreams.py
@@ -0,0 +1,156 @@
+"""Views of all upstreams that this host knows."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from egretmill.document import Environment
+from egretmill.routing.health import Ramp
+from egretmill.routing.observations import Observation
+from egretmill.routing.view import DrainSource, UpstreamView
+from egretmill.wire.messages import UpstreamRecord
+
+__all__ = ('UpstreamTable',)
+
+
+class UpstreamTable:
+    """Upstreams by name, fed by host list, reports and own observation.
+
+    Names of upstreams are unique over all services. The upstreams of the
+    first list count as warm, because a restarted entry host meets upstreams
+    that were in use before; later ones start cold.
+    """
+
+    def __init__(self) -> None:
+        self.views: dict[str, UpstreamView] = {}
+        self.index: dict[tuple[str, str], list[UpstreamView]] = {}
+        self.filled = False
+
+    def apply(
+        self,
+        environment: Environment,
+        upstreams: tuple[UpstreamRecord, ...],
+        now: float,
+    ) -> None:
+        """Take over a version of the document and of the host list."""
+        listed = {record.name for record in upstreams}
+        for record in upstreams:
+            self._apply_record(environment, record, now)
+        for name in set(self.views) - listed:
+            self._remove(name)
+        self.filled = self.filled or bool(upstreams)
+        self.index.clear()
+        for view in self.views.values():
+            place = (view.record.service, view.record.site)
+            self.index.setdefault(place, []).append(view)
+
+    def at(self, service: str, site: str) -> list[UpstreamView]:
+        """Return the upstreams of a service at a site."""
+        return self.index.get((service, site), [])
+
+    def begin(self, upstream: str, now: float) -> None:
+        """Note that a request is sent to an upstream."""
+        view = self.views.get(upstream)
+        if view is not None:
+            view.begin(now)
+
+    def finish(
+        self,
+        upstream: str,
+        observation: Observation,
+        now: float,
+    ) -> None:
+        """Note how a request ended; unknown upstreams are ignored."""
+        view = self.views.get(upstream)
+        if view is not None:
+            view.finish(observation, now)
+
+    def report(
+        self,
+        upstream: str,
+        running: int,
+        draining: bool,  # noqa: FBT001
+        received_at: float,
+    ) -> None:
+        """Store a load report (requests running for all hosts)."""
+        view = self.views.get(upstream)
+        if view is not None:
+            view.take_report(running, received_at, draining=draining)
+
+    def site_sheds(self, service: str, site: str, now: float) -> bool:
+        """Tell whether every upstream in use at a site sheds load."""
+        in_use = [view for view in self.at(service, site) if view.weight(now)]
+        return bool(in_use) and all(view.sheds(now) for view in in_use)
+
+    def in_flight(self, service: str, site: str) -> int:
+        """Return the own requests in flight at a site."""
+        return sum(view.in_flight for view in self.at(service, site))
+
+    def connection_limit(self, upstream: str) -> int:
+        """Return how many connections this host may hold, 0 if unknown."""
+        view = self.views.get(upstream)
+        return view.connection_limit if view else 0
+
+    def draining(self) -> Iterator[tuple[str, frozenset[DrainSource]]]:
+        """Yield the draining upstreams and who said so."""
+        for name, view in self.views.items():
+            if view.drains:
+                yield name, frozenset(view.drains)
+
+    def _remove(self, name: str) -> None:
+        view = self.views[name]
+        if not view.in_flight:
+            self.views.pop(name)
+            return
+        # Kept until its requests end, so that they are still counted.
+        view.record = msgspec.structs.replace(view.record, state='leaving')
+        view.drains.add(DrainSource.HOST_LIST)
+
+    def _apply_record(
+        self,
+        environment: Environment,
+        record: UpstreamRecord,
+        now: float,
+    ) -> None:
+        hosts = max(environment.share_slots, 1)
+        limit = max(record.max_connections // hosts, 1)
+        view = self.views.get(record.name)
+        if view is None:
+            view = UpstreamView(record, limit, ramp=Ramp(since=now))
+            self.views[record.name] = view
+            if self.filled:
+                view.ramp.restart(now)
+        elif _returned(view.record, record):
+            view.reset(record, now)
+        view.record = record
+        view.connection_limit = limit
+        _set_drains(view, environment, now)
+
+
+def _returned(known: UpstreamRecord, record: UpstreamRecord) -> bool:
+    if record.state == 'leaving':
+        return False
+    place = (record.service, record.site, record.address, record.port)
+    known_place = (known.service, known.site, known.address, known.port)
+    return known.state == 'leaving' or place != known_place
+
+
+def _set_drains(
+    view: UpstreamView,
+    environment: Environment,
+    now: float,
+) -> None:
+    record = view.record
+    told = {
+        DrainSource.HOST_LIST: record.state == 'leaving',
+        DrainSource.DOCUMENT: bool(
+            {('upstream', record.name), ('site', record.site)}
+            & environment.drained,
+        ),
+    }
+    for source, drained in told.items():
+        if drained:
+            view.drains.add(source)
+        elif source in view.drains:
+            view.drains.discard(source)
+            view.ramp.restart(now)
--- /dev/null
+++ b/egretmill/routing/view.py
@@ -0,0 +1,235 @@
+"""The view that this host has of one upstream."""
+
+import dataclasses
+import enum
+
+from egretmill.routing.health import Health, Latency, Ramp
+from egretmill.routing.observations import (
+    LoadReport,
+    Observation,
+    ObservationKind,
+)
+from egretmill.wire.messages import UpstreamRecord
+
+__all__ = ('DrainSource', 'UpstreamView', 'Verdict')
+
+#: Older load reports are not used (design page, section 9).
+REPORT_MAX_AGE_S = 2.0
+#: Reports must deny the drain for this time after a gap in the reports
+#: before an upstream returns that announced its drain in an answer.
+DRAIN_DENIAL_S = 5.0
+#: Time without new work after a load-shedding answer; doubles to the limit.
+FIRST_SHED_HOLD_S = 0.1
+LONGEST_SHED_HOLD_S = 1.6
+#: An upstream with requests in flight that finishes none for this time, or
+#: for the factor times its mean latency, counts as stalled.
+STALL_S = 1.0
+STALL_FACTOR = 8.0
+#: A shorter timeout says more about the caller's deadline than about the
+#: upstream.
+TIMEOUT_EVIDENCE_S = 0.5
+TIMEOUT_EVIDENCE_FACTOR = 4.0
+
+
+class DrainSource(enum.StrEnum):
+    """Who said that an upstream leaves."""
+
+    DOCUMENT = 'document'
+    HOST_LIST = 'host list'
+    ANSWER = 'own answer'
+    REPORT = 'load report'
+
+
+class Verdict(enum.StrEnum):
+    """Why an upstream is or is not a candidate."""
+
+    USABLE = 'usable'
+    STALLED = 'stalled'
+    DRAINING = 'draining'
+    LEFT_OUT = 'left out after failures'
+    PROBING = 'probe is running'
+    SHEDDING = 'shedding load'
+    FULL = 'own limit reached'
+    EXCLUDED = 'already tried'
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamView:
+    """State of one upstream as seen by this host.
+
+    :param connection_limit: connections that this host may hold.
+    """
+
+    record: UpstreamRecord
+    connection_limit: int
+    in_flight: int = 0
+    progress_at: float = 0
+    shed_until: float = 0
+    shed_hold_s: float = 0
+    denied_since: float | None = None
+    report: LoadReport | None = None
+    drains: set[DrainSource] = dataclasses.field(default_factory=set)
+    health: Health = dataclasses.field(default_factory=Health)
+    latency: Latency = dataclasses.field(default_factory=Latency)
+    ramp: Ramp = dataclasses.field(default_factory=Ramp)
+
+    def verdict(self, now: float) -> Verdict:
+        """Tell whether the upstream may get a request and why not."""
+        if self.drains:
+            return Verdict.DRAINING
+        if not self.health.admits(now):
+            return self._left_out()
+        if self.sheds(now):
+            return Verdict.SHEDDING
+        if self.in_flight >= self.limit(now):
+            return Verdict.FULL
+        return Verdict.STALLED if self.stalled(now) else Verdict.USABLE
+
+    def limit(self, now: float) -> int:
+        """Return how many requests this host may have in flight."""
+        level = self.ramp.level_at(now)
+        slots = max(1, int(self.record.slots * level))
+        return min(slots, self.connection_limit)
+
+    def weight(self, now: float) -> float:
+        """Return the slots that count as capacity now, 0 when unusable."""
+        if self.drains or self.health.left_out:
+            return 0
+        return self.record.slots * self.ramp.level_at(now)
+
+    def sheds(self, now: float) -> bool:
+        """Tell whether a load-shedding answer still holds."""
+        return now < self.shed_until
+
+    def stalled(self, now: float) -> bool:
+        """Tell whether requests are in flight but none finishes."""
+        if not self.in_flight:
+            return False
+        allowed_s = max(STALL_S, STALL_FACTOR * self.latency.mean_s)
+        return now - self.progress_at > allowed_s
+
+    def load(self, now: float) -> int:
+        """Return the estimated requests of all hosts at the upstream.
+
+        A report is corrected by what this host began and finished since.
+        """
+        report = self.report
+        if report is None or now - report.received_at > REPORT_MAX_AGE_S:
+            return self.in_flight
+        change = self.in_flight - report.own_in_flight
+        return max(self.in_flight, report.running + change)
+
+    def begin(self, now: float) -> None:
+        """Note that a request is sent."""
+        if not self.in_flight:
+            self.progress_at = now
+        self.in_flight += 1
+        self.health.begin()
+
+    def finish(self, observation: Observation, now: float) -> None:
+        """Note the end of a request."""
+        self.in_flight = max(self.in_flight - 1, 0)
+        latency_s = observation.latency_s
+        match observation.kind:
+            case ObservationKind.OK:
+                self._succeed(latency_s, now)
+            case ObservationKind.SHED:
+                self._shed(now)
+            case ObservationKind.DRAINING:
+                self.drains.add(DrainSource.ANSWER)
+                self.denied_since = None
+                self.health.cancel()
+            case ObservationKind.CANCELLED:
+                self.latency.add_bound(latency_s, now)
+                self.health.cancel()
+            case ObservationKind.TIMEOUT:
+                self._time_out(latency_s, now)
+            case _:
+                certain = observation.kind == ObservationKind.REFUSED
+                self.health.fail(now, certain=certain)
+
+    def take_report(
+        self,
+        running: int,
+        received_at: float,
+        *,
+        draining: bool,
+    ) -> None:
+        """Store a load report; an older one than the stored is dropped."""
+        last = self.report
+        if last is not None and received_at < last.received_at:
+            return
+        last_at = received_at if last is None else last.received_at
+        gap = received_at - last_at > REPORT_MAX_AGE_S
+        self.report = LoadReport(
+            max(running, 0),
+            draining,
+            received_at,
+            self.in_flight,
+        )
+        if draining:
+            self.drains.add(DrainSource.REPORT)
+            self.denied_since = None
+            return
+        self._deny_drain(received_at, after_gap=gap)
+
+    def reset(self, record: UpstreamRecord, now: float) -> None:
+        """Start again as a returned upstream; requests in flight remain."""
+        self.record = record
+        self.report = None
+        self.drains.clear()
+        self.denied_since = None
+        self.shed_until = 0
+        self.health = Health()
+        self.latency = Latency()
+        self.ramp.restart(now)
+
+    def _left_out(self) -> Verdict:
+        if self.health.probing:
+            return Verdict.PROBING
+        return Verdict.LEFT_OUT
+
+    def _succeed(self, latency_s: float, now: float) -> None:
+        self.progress_at = now
+        self.shed_hold_s = 0
+        self.latency.add(latency_s, now)
+        if self.health.succeed():
+            self.latency = Latency()
+            self.ramp.restart(now)
+
+    def _shed(self, now: float) -> None:
+        # A load-shedding answer comes from a process that works.
+        self.progress_at = now
+        if self.health.succeed():
+            self.ramp.restart(now)
+        doubled_s = max(FIRST_SHED_HOLD_S, 2 * self.shed_hold_s)
+        if not self.sheds(now):
+            self.shed_hold_s = min(doubled_s, LONGEST_SHED_HOLD_S)
+            self.ramp.shed(now)
+        self.shed_until = now + self.shed_hold_s
+
+    def _time_out(self, latency_s: float, now: float) -> None:
+        evidence_s = max(
+            TIMEOUT_EVIDENCE_S,
+            TIMEOUT_EVIDENCE_FACTOR * self.latency.mean_s,
+        )
+        self.latency.add_bound(latency_s, now)
+        if latency_s >= evidence_s:
+            self.health.fail(now, certain=False)
+        else:
+            self.health.cancel()
+
+    def _deny_drain(self, now: float, *, after_gap: bool) -> None:
+        # A report alone does not end an announced drain, because it can be
+        # late. A gap shows that the process may have been replaced.
+        if DrainSource.REPORT in self.drains:
+            self.drains.discard(DrainSource.REPORT)
+            self.ramp.restart(now)
+        if DrainSource.ANSWER not in self.drains:
+            return
+        if after_gap:
+            self.denied_since = now
+        since = self.denied_since
+        if since is not None and now - since >= DRAIN_DENIAL_S:
+            self.drains.discard(DrainSource.ANSWER)
+            self.ramp.restart(now)
--- /dev/null
+++ b/tests/admission/test_gate.py
@@ -0,0 +1,92 @@
+"""Asynchronous admission."""
+
+import asyncio
+import dataclasses
+
+from result import Err, Ok
+
+from egretmill.admission import FairQueue, Gate, Shortage
+from egretmill.errors import ErrorKind
+
+
+@dataclasses.dataclass
+class Slots:
+    """A pool of grants; ``Err`` while it is empty."""
+
+    free: int
+    granted: list[str] = dataclasses.field(default_factory=list)
+
+    def attempt_for(self, label: str):
+        """Return an attempt that takes one slot for a label."""
+
+        def attempt(now):
+            if not self.free:
+                return Err(Shortage(ErrorKind.OVERLOADED, 'none', 60))
+            self.free -= 1
+            self.granted.append(label)
+            return Ok(label)
+
+        return attempt
+
+
+def make_gate(capacity: int = 100, **options) -> Gate:
+    """Return a gate on the clock of the running loop."""
+    clock = asyncio.get_running_loop().time
+    return Gate(FairQueue(capacity), clock, **options)
+
+
+async def test_admits_at_once_when_free():
+    """Guards against a wait without need."""
+    gate = make_gate()
+    slots = Slots(1)
+    deadline = gate.clock() + 1
+    answer = await gate.admit('s', 'a', deadline, slots.attempt_for('a'))
+    assert answer == Ok('a')
+
+
+async def test_release_wakes_in_turn():
+    """Guards against a large account that keeps others out."""
+    gate = make_gate()
+    slots = Slots(0)
+    deadline = gate.clock() + 5
+    accounts = ['big', 'big', 'big', 'small']
+    tasks = [
+        asyncio.create_task(
+            gate.admit('s', account, deadline, slots.attempt_for(account)),
+        )
+        for account in accounts
+    ]
+    await asyncio.sleep(0)
+    slots.free = 2
+    gate.notify()
+    assert slots.granted == ['big', 'small']
+    slots.free = 2
+    gate.notify()
+    assert await asyncio.gather(*tasks) == [Ok(name) for name in accounts]
+
+
+async def test_deadline_ends_the_wait():
+    """Guards against a caller that waits past its deadline."""
+    gate = make_gate()
+    deadline = gate.clock() + 0.03
+    attempt = Slots(0).attempt_for('a')
+    answer = await gate.admit('s', 'a', deadline, attempt)
+    assert answer.unwrap_err().kind == ErrorKind.QUEUE_TIMEOUT
+    assert gate.clock() <= deadline + 0.02
+    assert not gate.futures
+
+
+async def test_grant_of_a_cancelled_caller_is_given_back():
+    """Guards against slots that are lost when callers disconnect."""
+    returned = []
+    gate = make_gate(give_back=returned.append)
+    slots = Slots(0)
+    call = gate.admit('s', 'a', gate.clock() + 5, slots.attempt_for('a'))
+    task = asyncio.create_task(call)
+    await asyncio.sleep(0)
+    slots.free = 1
+    gate.notify()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert returned == ['a']
+    assert not len(gate.queue)
