--- /dev/null
+++ b/egretmill/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: serves callers' requests through upstreams."""
--- /dev/null
+++ b/egretmill/entry/exchange.py
@@ -0,0 +1,230 @@
+"""One caller's request through one or more attempts at upstreams."""
+
+import dataclasses
+from collections.abc import AsyncIterator
+
+from result import Err, Ok, Result
+
+from egretmill import events
+from egretmill.entry import headers as header_names
+from egretmill.entry.admission import Admission, Grant
+from egretmill.entry.body import Body, BufferedBody
+from egretmill.entry.limits import LinkMeter
+from egretmill.entry.refusal import Refusal
+from egretmill.entry.request import CallerRequest
+from egretmill.entry.sink import CallerSink, SheddingSink
+from egretmill.entry.state import EntryState
+from egretmill.entry.upstream_call import CallEnd, UpstreamCall, UpstreamTarget
+from egretmill.errors import ErrorKind, Failure
+from egretmill.logs import log_event
+from egretmill.routing.observations import Observation, ObservationKind
+
+__all__ = ('Exchange',)
+
+# A connect takes about 1 ms; a host that does not answer within this time
+# is treated as refusing, which is safe because nothing was sent.
+CONNECT_LIMIT_S = 0.5
+MAX_ATTEMPTS = 4
+MILLISECONDS = 1000
+# An idempotent request leaves this part of its time for another attempt.
+FIRST_ATTEMPT_SHARE = 0.5
+
+OBSERVATIONS = {
+    ErrorKind.UPSTREAM_REFUSED: ObservationKind.REFUSED,
+    ErrorKind.UPSTREAM_TIMEOUT: ObservationKind.TIMEOUT,
+    ErrorKind.UPSTREAM_FAILED: ObservationKind.FAILED,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeteredBody:
+    """A body whose bytes are counted on a link while they are sent."""
+
+    body: Body
+    meter: LinkMeter
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body inside the share of the link."""
+        async for chunk in self.body.chunks():
+            await self.meter.spend(len(chunk))
+            yield chunk
+
+
+class Exchange:
+    """Runs attempts until one gives the caller an answer."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        caller: CallerRequest,
+        body: Body,
+        sink: CallerSink,
+    ) -> None:
+        """Prepare to serve a request."""
+        self.state = state
+        self.caller = caller
+        self.body = body
+        self.sink = sink
+        self.admission = Admission(state, caller)
+        self.attempts = 0
+        self.sent = False
+
+    async def run(self) -> Result[None, Refusal]:
+        """Serve the request; the answer goes to the sink.
+
+        An error means that the caller has not got a whole answer.
+        """
+        service = self.caller.route.service
+        self.state.budget.record(service, self.state.now())
+        while True:
+            admitted = await self.admission.wait()
+            if isinstance(admitted, Err):
+                return Err(self.refusal(admitted.err_value))
+            ended = await self.attempt(admitted.ok_value)
+            if isinstance(ended, Ok):
+                return ended
+            if not self.may_retry(ended.err_value):
+                return Err(self.refusal(ended.err_value))
+            self.log_retry(admitted.ok_value, ended.err_value)
+
+    async def attempt(self, grant: Grant) -> Result[None, Failure]:
+        """Make one attempt and give back what it held."""
+        self.attempts += 1
+        self.log_routed(grant)
+        started_at = self.state.now()
+        observed = ObservationKind.CANCELLED
+        self.state.table.begin(grant.upstream.name, started_at)
+        try:
+            end, shed = await self.call(grant)
+            observed = observation_of(end)
+        finally:
+            took_s = self.state.now() - started_at
+            self.state.finish(grant, Observation(took_s, observed))
+        self.sent = self.sent or end.sent
+        if end.kind is not None:
+            return Err(Failure(end.kind, end.detail))
+        if shed:
+            return Err(Failure(ErrorKind.UPSTREAM_SHED, grant.upstream.name))
+        return Ok(None)
+
+    async def call(self, grant: Grant) -> tuple[CallEnd, bool]:
+        """Send the request to the chosen upstream.
+
+        :returns: how the call ended and whether its answer was held back
+            because the upstream shed the request.
+        """
+        decision = grant.decision
+        outward = self.meter(decision.from_region, decision.to_region)
+        homeward = self.meter(decision.to_region, decision.from_region)
+        sink = SheddingSink(self.sink, homeward)
+        sink.hold_shed = self.is_repeatable()
+        upstream = grant.upstream
+        target = UpstreamTarget(
+            upstream.address,
+            upstream.port,
+            self.caller.method,
+            self.caller.uri,
+        )
+        call = UpstreamCall(target, sink)
+        end = await call.run(
+            self.upstream_headers(grant),
+            MeteredBody(self.body, outward),
+            CONNECT_LIMIT_S,
+            self.attempt_deadline(),
+        )
+        return end, sink.dropping
+
+    def meter(self, from_region: str, to_region: str) -> LinkMeter:
+        """Return the meter of one direction of a link."""
+        return LinkMeter(
+            self.state.holdings,
+            self.state.environment,
+            from_region,
+            to_region,
+        )
+
+    def upstream_headers(self, grant: Grant):
+        """Return the headers of the attempt."""
+        remaining_s = self.caller.deadline_at - self.state.now()
+        upstream = grant.upstream
+        return header_names.upstream_headers(
+            self.caller.headers,
+            f'{upstream.address}:{upstream.port}',
+            self.caller.request_id,
+            max(1, int(remaining_s * MILLISECONDS)),
+            self.body.size,
+        )
+
+    def attempt_deadline(self) -> float:
+        """Return when this attempt ends on the loop's clock."""
+        deadline_at = self.caller.deadline_at
+        if not self.is_repeatable():
+            return deadline_at
+        now = self.state.now()
+        return now + (deadline_at - now) * FIRST_ATTEMPT_SHARE
+
+    def is_repeatable(self) -> bool:
+        """Tell whether the request may be sent more than once."""
+        if self.attempts >= MAX_ATTEMPTS:
+            return False
+        if not isinstance(self.body, BufferedBody):
+            return False
+        return self.caller.route.idempotent
+
+    def may_retry(self, failure: Failure) -> bool:
+        """Decide on another attempt after a failed one."""
+        if self.sink.started or self.attempts >= MAX_ATTEMPTS:
+            return False
+        if failure.kind is ErrorKind.UPSTREAM_REFUSED:
+            return self.body.replayable
+        if not self.is_repeatable():
+            return False
+        service = self.caller.route.service
+        return self.state.budget.allows(service, self.state.now())
+
+    def refusal(self, failure: Failure) -> Refusal:
+        """Return the error answer for the caller."""
+        if self.sent:
+            return Refusal.after_sending(failure)
+        return Refusal.before_sending(failure)
+
+    def log_routed(self, grant: Grant) -> None:
+        """Write the decision of an attempt."""
+        decision = grant.decision
+        self.state.metrics.count(f'routed.{decision.service}')
+        log_event(
+            events.CATALOGUE.REQUEST_ROUTED,
+            request_id=self.caller.request_id,
+            account=self.caller.account_name,
+            service=decision.service,
+            site=decision.site,
+            upstream=decision.upstream.name,
+            policy=decision.policy,
+            attempt=self.attempts,
+            reasons='; '.join(decision.reasons),
+        )
+
+    def log_retry(self, grant: Grant, failure: Failure) -> None:
+        """Write that an attempt failed and another one follows."""
+        self.admission.exclude(grant.upstream.name)
+        self.state.metrics.count(f'retried.{self.caller.route.service}')
+        log_event(
+            events.CATALOGUE.REQUEST_RETRIED,
+            request_id=self.caller.request_id,
+            upstream=grant.upstream.name,
+            kind=failure.kind.value,
+            detail=failure.detail,
+        )
+
+
+def observation_of(end: CallEnd) -> ObservationKind:
+    """Return what a call tells about its upstream."""
+    if end.caller_gone:
+        return ObservationKind.CANCELLED
+    if end.kind is not None:
+        return OBSERVATIONS[end.kind]
+    if end.draining:
+        return ObservationKind.DRAINING
+    if end.status == 503:
+        return ObservationKind.SHED
+    return ObservationKind.OK
--- /dev/null
+++ b/egretmill/entry/loans.py
@@ -0,0 +1,111 @@
+"""Borrows from and lends to the entry programs of other hosts."""
+
+import asyncio
+
+from result import Ok, Result
+
+from egretmill import events
+from egretmill.entry.state import EntryState
+from egretmill.errors import Failure
+from egretmill.logs import log_event
+from egretmill.wire import Peer
+from egretmill.wire.messages import Borrow, Loans
+
+__all__ = ('LoanExchange',)
+
+# Twice the delay between regions (20 ms) and room for a busy peer.
+BORROW_TIMEOUT_S = 0.2
+# Waiting requests look for loans at this interval; it bounds what a
+# request waits for a question to be sent.
+WISH_INTERVAL_S = 0.01
+
+
+class LoanExchange:
+    """Sends the questions that the holdings want to ask."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Start without connections."""
+        self.state = state
+        self.links: dict[tuple[str, int], Peer] = {}
+
+    async def run(self) -> None:
+        """Ask peers until cancelled."""
+        while True:
+            self.ask()
+            await asyncio.sleep(WISH_INTERVAL_S)
+
+    def ask(self) -> None:
+        """Send what the holdings want to ask now."""
+        addresses = self.addresses()
+        now = self.state.now()
+        for name, borrow in self.state.holdings.wishes(now, list(addresses)):
+            self.state.spawn(self.borrow(addresses[name], borrow))
+
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        """Return the reachable peers, those of the own domain first."""
+        domain = self.state.settings.failure_domain
+        reachable = [
+            peer.host
+            for peer in self.state.peers()
+            if peer.reachable and peer.entry_ready
+        ]
+        reachable.sort(key=lambda host: host.failure_domain != domain)
+        return {
+            host.name: (host.address, host.entry_peer_port)
+            for host in reachable
+        }
+
+    async def borrow(self, address: tuple[str, int], borrow: Borrow) -> None:
+        """Ask one peer and use its loan, counted from before the call."""
+        link = self.links.setdefault(address, Peer(*address))
+        sent_at = self.state.now()
+        answer = await link.call(borrow, BORROW_TIMEOUT_S)
+        now = self.state.now()
+        match answer:
+            case Ok(Loans() as loans):
+                self.state.holdings.receive(borrow, loans, sent_at, now)
+                self.log_received(borrow, loans)
+                self.state.gate.notify()
+            case _:
+                self.state.metrics.count('quota.borrow_failed')
+                self.state.holdings.failed(borrow, now)
+
+    def log_received(self, borrow: Borrow, loans: Loans) -> None:
+        """Write what was borrowed."""
+        self.state.metrics.count('quota.borrowed', len(loans.loans))
+        for loan in loans.loans:
+            log_event(
+                events.CATALOGUE.LOAN_RECEIVED,
+                total=borrow.total,
+                amount=loan.amount,
+                tokens=loan.tokens,
+                loan=loan.loan_id,
+            )
+
+    def lend(self, borrow: Borrow) -> Result[Loans, Failure]:
+        """Answer a peer's question."""
+        loans = self.state.holdings.lend(borrow, self.state.now())
+        self.state.metrics.count('quota.lent', len(loans.loans))
+        for loan in loans.loans:
+            log_event(
+                events.CATALOGUE.LOAN_GRANTED,
+                borrower=borrow.borrower,
+                total=borrow.total,
+                amount=loan.amount,
+                tokens=loan.tokens,
+                loan=loan.loan_id,
+            )
+        return Ok(loans)
+
+    async def give_back(self) -> None:
+        """Return what is borrowed, as part of a shutdown."""
+        addresses = self.addresses()
+        returned = self.state.holdings.return_all(self.state.now())
+        calls = [
+            self.borrow(addresses[name], borrow)
+            for name, borrow in returned
+            if name in addresses
+        ]
+        await asyncio.gather(*calls)
+        for link in self.links.values():
+            link.close()
--- /dev/null
+++ b/egretmill/entry/state.py
@@ -0,0 +1,160 @@
+"""What the entry program knows: version, shares, upstreams, readiness."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+
+from result import Err
+
+from egretmill import events
+from egretmill.admission import FairQueue, Gate
+from egretmill.document import Environment, Route
+from egretmill.entry.admission import Grant
+from egretmill.entry.limits import ShareLimits
+from egretmill.logs import log_event
+from egretmill.metrics import Metrics
+from egretmill.quota.holdings import Holdings
+from egretmill.routing import (
+    POLICIES,
+    Observation,
+    RetryBudget,
+    Router,
+    UpstreamTable,
+)
+from egretmill.routing.sites import site_order
+from egretmill.settings import HostSettings
+from egretmill.wire import messages
+
+__all__ = ('EntryState',)
+
+#: Most requests that wait for admission.
+QUEUE_CAPACITY = 1000
+UPSTREAM_POLICY = 'least-load-latency'
+
+
+class EntryState:
+    """All state of one entry program; changed on one loop only."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        incarnation: int,
+        metrics: Metrics,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start without a version: the program is not ready."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.metrics = metrics
+        self.now = now
+        self.environment: Environment | None = None
+        self.host: messages.HostState | None = None
+        self.leaving = False
+        self.running = 0
+        self.holdings = Holdings(settings.name, incarnation)
+        self.limits = ShareLimits(self.holdings)
+        self.table = UpstreamTable()
+        self.budget = RetryBudget()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.gate = Gate(FairQueue(QUEUE_CAPACITY), now, self.give_back)
+        self.router = Router(
+            self.table,
+            settings.failure_domain,
+            POLICIES[UPSTREAM_POLICY](),
+            random.Random(incarnation),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the program has a version to serve by."""
+        return self.environment is not None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force here, 0 when there is none."""
+        return self.environment.version if self.environment else 0
+
+    def apply(self, host: messages.HostState) -> None:
+        """Take over what the agent knows; a version never goes back."""
+        now = self.now()
+        if host.version > self.version and host.document:
+            self.apply_document(host)
+        self.host = host
+        if self.environment is None:
+            return
+        self.table.apply(self.environment, host.upstreams, now)
+        self.holdings.apply(
+            self.environment,
+            host.upstreams,
+            host.slot,
+            host.settled_version,
+            now,
+        )
+        self.gate.notify()
+
+    def apply_document(self, host: messages.HostState) -> None:
+        """Put a newer version in force; a damaged one changes nothing."""
+        loaded = Environment.from_bytes(
+            host.document,
+            f'version {host.version}',
+            host.version,
+        )
+        if isinstance(loaded, Err):
+            self.metrics.count('configuration.rejected')
+            log_event(
+                events.CATALOGUE.CONFIGURATION_REJECTED,
+                version=host.version,
+                reason=str(loaded.err_value[0]),
+            )
+            return
+        self.environment = loaded.ok_value
+        log_event(
+            events.CATALOGUE.CONFIGURATION_APPLIED,
+            version=host.version,
+            digest=self.environment.digest,
+        )
+
+    def is_confirmed_for(self, route: Route) -> bool:
+        """Tell whether the version is fresh enough for a route."""
+        if route.serves_unconfirmed:
+            return True
+        if self.host is None or self.environment is None:
+            return False
+        grace_s = self.environment.document.quota.unconfirmed_grace_s
+        return self.now() - self.host.confirmed_at <= grace_s
+
+    def finish(self, grant: Grant, observation: Observation) -> None:
+        """Give back what an attempt held and learn from its end."""
+        now = self.now()
+        self.table.finish(grant.upstream.name, observation, now)
+        self.holdings.release(grant.slots, 1, now)
+        self.gate.notify()
+
+    def give_back(self, grant: Grant) -> None:
+        """Take back a grant whose caller has gone before it was used."""
+        self.holdings.release(grant.slots, 1, self.now())
+
+    def preferred_site(self, service: str) -> str:
+        """Return the nearest site of a service, empty when unknown."""
+        if self.environment is None:
+            return ''
+        domain = self.settings.failure_domain
+        order = site_order(self.environment, service, domain)
+        return order[0][1] if order else ''
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run work in the background; a shutdown waits for it."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def peers(self) -> tuple[messages.PeerState, ...]:
+        """Return the other entry hosts."""
+        if self.host is None:
+            return ()
+        return tuple(
+            peer
+            for peer in self.host.peers
+            if peer.host.name != self.settings.name
+        )
--- a/egretmill/wire/messages.py
+++ b/egretmill/wire/messages.py
@@ -93,6 +93,7 @@
     leaving: bool
     entry_ready: bool
     slot_index: int | None = None
+    entry_incarnation: int = 0
 
 
 class PullState(Message):
@@ -205,6 +206,7 @@
     leaving: bool
     entry_ready: bool
     slot_index: int | None = None
+    entry_incarnation: int = 0
 
 
 class FetchDocument(Message):
