Add promotion, the operations port and the first commands

Cause: nothing could put an environment document in force, and operators had no way to see which host has which version.

Change: Promoter validates a document, checks it against the one in force, stores it and compare-and-sets the version row. An attempt can only have made the version after the one it replaces, so one history entry settles a lost answer. The agent's operations port serves promote, status, document, explain and retire; the tool has check, promote, status, key new and key digest. Two error kinds (transition_refused, promotion_unknown), event 207, PeerState.confirmation_age_s, the port setting and the token digest are new.

Ruled out: the history inside config/current. Agents read that row twice a second, and even 32 entries would use half of the 5 KB/s per node. One row per attempt was ruled out because the table port has no delete.

--- /dev/null
+++ b/egretmill/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: the only program that talks to the platform."""
--- /dev/null
+++ b/egretmill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool."""
--- /dev/null
+++ b/egretmill/cli/application.py
@@ -0,0 +1,51 @@
+"""The ``egretmill`` program: its commands and exit status."""
+
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+
+from egretmill import __version__
+from egretmill.cli.base import EXIT_INVALID, OperatorCommand
+from egretmill.cli.check import CheckCommand
+from egretmill.cli.key import KeyDigestCommand, KeyNewCommand
+from egretmill.cli.promote import PromoteCommand
+from egretmill.cli.status import StatusCommand
+
+__all__ = ('COMMANDS', 'build_application', 'main')
+
+#: All commands, in the order in which they are documented.
+COMMANDS: tuple[type[OperatorCommand], ...] = (
+    CheckCommand,
+    PromoteCommand,
+    StatusCommand,
+    KeyNewCommand,
+    KeyDigestCommand,
+)
+
+
+def build_application() -> Application:
+    """Return the application with all commands."""
+    application = Application('egretmill', __version__)
+    application.auto_exits(auto_exits=False)
+    application.catch_exceptions(catch_exceptions=False)
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> int:
+    """Run the command that the arguments name.
+
+    :returns: 0 for success, 1 for refused or unreachable, 2 for invalid
+        input, which includes wrong arguments.
+    """
+    try:
+        return build_application().run()
+    except CleoError as error:
+        print(f'egretmill: {error}', file=sys.stderr)
+        return EXIT_INVALID
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/egretmill/cli/base.py
@@ -0,0 +1,92 @@
+"""Base of the commands: plain output, problems and exit status."""
+
+import pathlib
+from collections.abc import Iterable
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from cleo.io.outputs.output import Type
+from result import Err, Ok, Result
+
+from egretmill.cli.client import AgentClient
+from egretmill.errors import ErrorKind, Failure
+from egretmill.settings import Problem
+
+__all__ = (
+    'AGENT_OPTION',
+    'EXIT_INVALID',
+    'EXIT_OK',
+    'EXIT_REFUSED',
+    'OperatorCommand',
+    'read_file',
+)
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_INVALID = 2
+#: Failures whose cause is the input, not the state of the system.
+INVALID_KINDS = frozenset(
+    (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.INVALID_DOCUMENT,
+    ),
+)
+
+AGENT_OPTION: Option = option(
+    'agent',
+    description='Base URL of an operations port; several are tried in order.',
+    flag=False,
+    multiple=True,
+)
+
+
+class OperatorCommand(Command):
+    """A command with an example and plain, unstyled output."""
+
+    #: Shown by ``--help``.
+    example = ''
+
+    def __init__(self) -> None:
+        """Put the example into the help text."""
+        self.help = f'<b>Example</b>\n  {self.example}'
+        super().__init__()
+
+    def emit(self, text: str, end: str = '\n') -> None:
+        """Write text to standard output as it is."""
+        self.io.output.write(text + end, type=Type.RAW)
+
+    def complain(self, text: str) -> None:
+        """Write a line to standard error as it is."""
+        self.io.error_output.write(f'{text}\n', type=Type.RAW)
+
+    def invalid(self, problems: Iterable[Problem]) -> int:
+        """Report problems of the input, one line each."""
+        for problem in problems:
+            self.complain(str(problem))
+        return EXIT_INVALID
+
+    def refused(self, failure: Failure) -> int:
+        """Report a failure and return its exit status."""
+        self.complain(f'{failure.kind}: {failure.detail}')
+        if failure.kind in INVALID_KINDS:
+            return EXIT_INVALID
+        return EXIT_REFUSED
+
+    def client(self) -> Result[AgentClient, list[Problem]]:
+        """Return a client for the agents that the options name."""
+        urls = self.option('agent')
+        if not urls:
+            missing = Problem('--agent', '$', '(missing)', 'name an agent')
+            return Err([missing])
+        return AgentClient.from_urls(urls)
+
+
+def read_file(name: str) -> Result[bytes, list[Problem]]:
+    """Return the bytes of a file or the problem with it."""
+    try:
+        return Ok(pathlib.Path(name).read_bytes())
+    except OSError as error:
+        reason = error.strerror or str(error)
+        return Err([Problem(name, '$', '(file)', reason)])
--- /dev/null
+++ b/egretmill/cli/client.py
@@ -0,0 +1,180 @@
+"""Client of the agents' operations ports."""
+
+import asyncio
+import os
+import re
+from collections.abc import Iterable, Mapping
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+
+from egretmill.errors import ErrorKind, Failure
+from egretmill.settings import Problem
+
+__all__ = ('TOKEN_VARIABLE', 'AgentClient')
+
+AnswerT = TypeVar('AnswerT')
+#: Environment variable with the operators' token. It is no option because
+#: other users of the machine can read the options of a process.
+TOKEN_VARIABLE = 'EGRETMILL_OPERATIONS_TOKEN'
+URL_PATTERN = re.compile(r'https?://[^\s/?#]+/?')
+CONNECT_TIMEOUT_S = 2.0
+# Above the limit of a promotion in the agent (8 s and one platform call).
+REQUEST_TIMEOUT_S = 12.0
+HTTP_OK = 200
+#: Failures after which another agent may do better.
+TRY_NEXT = frozenset(
+    (
+        ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.PLATFORM_UNAVAILABLE,
+        ErrorKind.PROMOTION_UNKNOWN,
+        ErrorKind.SHUTTING_DOWN,
+        ErrorKind.NOT_READY,
+        ErrorKind.INTERNAL,
+    ),
+)
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Body of an answer other than 200."""
+
+    error: str
+    detail: str = ''
+
+
+class AgentClient:
+    """Calls the first agent of a list that can answer."""
+
+    def __init__(self, urls: tuple[str, ...], token: str) -> None:
+        """Keep the base URLs and the operators' token, which may be empty."""
+        self.urls = urls
+        self.token = token
+
+    @classmethod
+    def from_urls(
+        cls,
+        urls: Iterable[str],
+    ) -> Result['AgentClient', list[Problem]]:
+        """Check the URLs and take the token from the environment."""
+        rule = 'must be http://ADDRESS:PORT'
+        problems = [
+            Problem('--agent', '$', url, rule)
+            for url in urls
+            if not URL_PATTERN.fullmatch(url)
+        ]
+        if problems:
+            return Err(problems)
+        stripped = tuple(url.rstrip('/') for url in urls)
+        return Ok(cls(stripped, os.environ.get(TOKEN_VARIABLE, '')))
+
+    def get(self, path: str) -> Result[HTTPResponse, Failure]:
+        """Read a resource."""
+        return asyncio.run(self.call('GET', path, None))
+
+    def post(self, path: str, body: bytes) -> Result[HTTPResponse, Failure]:
+        """Send a body."""
+        return asyncio.run(self.call('POST', path, body))
+
+    def post_json(
+        self,
+        path: str,
+        body: Mapping[str, Any],
+        kind: type[AnswerT],
+    ) -> Result[AnswerT, Failure]:
+        """Send a JSON body and decode the JSON answer."""
+        answer = self.post(path, msgspec.json.encode(body))
+        return answer.and_then(lambda response: decode(response, kind))
+
+    def get_json(
+        self,
+        path: str,
+        kind: type[AnswerT],
+    ) -> Result[AnswerT, Failure]:
+        """Read a JSON resource."""
+        answer = self.get(path)
+        return answer.and_then(lambda response: decode(response, kind))
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+    ) -> Result[HTTPResponse, Failure]:
+        """Try the agents in order and return the first usable answer.
+
+        When none is usable, the failure lists what each of them said. Its
+        kind is ``promotion_unknown`` if any agent may have carried out a
+        promotion.
+        """
+        failures: list[Failure] = []
+        for url in self.urls:
+            # In order: a later agent is asked only when an earlier failed.
+            answer = await self.fetch(method, url + path, body)  # noqa: WPS476
+            match answer:
+                case Err(failure) if failure.kind in TRY_NEXT:
+                    failures.append(failure)
+                case _:
+                    return answer
+        return Err(combined(failures))
+
+    async def fetch(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+    ) -> Result[HTTPResponse, Failure]:
+        """Call one agent."""
+        headers = {}
+        if self.token:
+            headers['Authorization'] = f'Bearer {self.token}'
+        try:
+            response = await AsyncHTTPClient().fetch(
+                url,
+                method=method,
+                body=body,
+                headers=headers,
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=REQUEST_TIMEOUT_S,
+                raise_error=False,
+            )
+        except (HTTPClientError, OSError) as error:
+            return Err(Failure(ErrorKind.PEER_UNREACHABLE, f'{url}: {error}'))
+        if response.code == HTTP_OK:
+            return Ok(response)
+        return Err(failure_of(url, response))
+
+
+def combined(failures: list[Failure]) -> Failure:
+    """Return one failure for all agents that were tried."""
+    kinds = [failure.kind for failure in failures]
+    kind = kinds[-1]
+    if ErrorKind.PROMOTION_UNKNOWN in kinds:
+        kind = ErrorKind.PROMOTION_UNKNOWN
+    return Failure(kind, '\n'.join(failure.detail for failure in failures))
+
+
+def failure_of(url: str, response: HTTPResponse) -> Failure:
+    """Return the failure that an error answer reports."""
+    try:
+        body = msgspec.json.decode(response.body, type=ErrorBody)
+    except msgspec.DecodeError:
+        detail = f'{url}: {response.code} {response.reason}'
+        return Failure(ErrorKind.PEER_UNREACHABLE, detail)
+    if body.error not in list(ErrorKind):
+        detail = f'{url}: {body.error}: {body.detail}'
+        return Failure(ErrorKind.INTERNAL, detail)
+    return Failure(ErrorKind(body.error), body.detail)
+
+
+def decode(
+    response: HTTPResponse,
+    kind: type[AnswerT],
+) -> Result[AnswerT, Failure]:
+    """Decode a JSON answer."""
+    try:
+        return Ok(msgspec.json.decode(response.body, type=kind))
+    except msgspec.DecodeError as error:
+        detail = f'{response.effective_url}: {error}'
+        return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail))
--- /dev/null
+++ b/egretmill/cli/key.py
@@ -0,0 +1,61 @@
+"""``egretmill key new`` and ``egretmill key digest``."""
+
+import sys
+
+from cleo.helpers import option
+
+from egretmill.accounts import digest_of, new_key
+from egretmill.cli.base import EXIT_INVALID, EXIT_OK, OperatorCommand
+
+__all__ = ('KeyDigestCommand', 'KeyNewCommand')
+
+MAX_LABEL_CHARACTERS = 64
+
+
+class KeyNewCommand(OperatorCommand):
+    """Makes a key; nothing is stored."""
+
+    name = 'key new'
+    description = 'Print a new API key once, and the line for the document.'
+    example = 'egretmill key new --label "night shift terminal"'
+    options = [
+        option('label', description='Label for operators.', flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Print the key and the TOML line with its digest."""
+        label = self.option('label') or ''
+        if not is_plain(label):
+            self.complain(
+                f'--label: {label!r}: at most {MAX_LABEL_CHARACTERS} '
+                'printable characters without quotes or backslashes',
+            )
+            return EXIT_INVALID
+        key = new_key()
+        self.emit(key)
+        self.emit(f'{{ digest = "{digest_of(key)}", label = "{label}" }},')
+        return EXIT_OK
+
+
+class KeyDigestCommand(OperatorCommand):
+    """Prints the digest of a key from standard input."""
+
+    name = 'key digest'
+    description = 'Print the digest of the key on standard input.'
+    example = 'egretmill key digest < key.txt'
+
+    def handle(self) -> int:
+        """Read the key from standard input: options are visible to others."""
+        key = sys.stdin.readline().strip()
+        if not key:
+            self.complain('standard input: $ = (missing): give a key')
+            return EXIT_INVALID
+        self.emit(digest_of(key))
+        return EXIT_OK
+
+
+def is_plain(label: str) -> bool:
+    """Tell whether a label needs no escapes in TOML."""
+    if len(label) > MAX_LABEL_CHARACTERS or not label.isprintable():
+        return False
+    return not set(label) & {'"', '\\'}
--- /dev/null
+++ b/egretmill/cli/promote.py
@@ -0,0 +1,172 @@
+"""``egretmill promote``: put a document in force."""
+
+import getpass
+import time
+import uuid
+from urllib.parse import urlencode
+
+from cleo.helpers import argument, option
+from result import Err, Ok, Result
+
+from egretmill.agent.operations import HostStatus, StatusReport
+from egretmill.cli.base import (
+    AGENT_OPTION,
+    EXIT_OK,
+    EXIT_REFUSED,
+    OperatorCommand,
+    read_file,
+)
+from egretmill.cli.client import AgentClient, decode
+from egretmill.document import Environment
+from egretmill.document.promotion import Promoted
+from egretmill.errors import ErrorKind, Failure
+from egretmill.settings import Problem
+
+__all__ = ('PromoteCommand', 'lagging')
+
+POLL_S = 0.25
+
+
+class PromoteCommand(OperatorCommand):
+    """Promotes a document through an agent."""
+
+    name = 'promote'
+    description = 'Put an environment document in force.'
+    example = (
+        'egretmill promote environment.toml '
+        '--agent http://10.0.0.1:8092 --replaces 7 --wait 18'
+    )
+    arguments = [argument('file', 'The environment document.')]
+    options = [
+        AGENT_OPTION,
+        option(
+            'replaces',
+            description='Version that the document replaces, 0 for none.',
+            flag=False,
+        ),
+        option(
+            'attempt',
+            description='Attempt id of an earlier call with unknown outcome.',
+            flag=False,
+        ),
+        option(
+            'wait',
+            description='Wait up to this many seconds for all live hosts.',
+            flag=False,
+        ),
+        option(
+            'operator',
+            description='Name to record; the login name by default.',
+            flag=False,
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Check the file, promote it and wait if asked to."""
+        replaces = self.option('replaces') or ''
+        wait = self.option('wait') or '0'
+        problems = number_problems(replaces, wait)
+        client = self.client()
+        body = read_file(self.argument('file'))
+        for found in (client, body):
+            problems.extend(found.err() or [])
+        if problems:
+            return self.invalid(problems)
+        return self.promote(
+            client.unwrap(),
+            body.unwrap(),
+            int(replaces),
+            float(wait),
+        )
+
+    def promote(
+        self,
+        client: AgentClient,
+        body: bytes,
+        replaces: int,
+        wait_s: float,
+    ) -> int:
+        """Promote a document whose own rules hold."""
+        checked = Environment.from_bytes(body, self.argument('file'))
+        if isinstance(checked, Err):
+            return self.invalid(checked.err_value)
+        attempt = self.option('attempt') or uuid.uuid4().hex
+        # Written first: the id is needed when this process is interrupted.
+        self.complain(f'attempt {attempt}')
+        query = urlencode(
+            {
+                'replaces': replaces,
+                'attempt': attempt,
+                'operator': self.option('operator') or getpass.getuser(),
+            },
+        )
+        answer = client.post(f'/v1/promote?{query}', body)
+        promoted = answer.and_then(lambda found: decode(found, Promoted))
+        match promoted:
+            case Ok(Promoted(version=version, digest=digest)):
+                self.emit(f'version {version} is in force, {digest}')
+                return self.await_hosts(client, version, wait_s)
+            case Err(Failure(kind=ErrorKind.PEER_UNREACHABLE) as failure):
+                status = self.refused(failure)
+                self.complain(
+                    'unknown: run promote again with '
+                    f'--attempt {attempt} --replaces {replaces}',
+                )
+                return status
+        return self.refused(promoted.unwrap_err())
+
+    def await_hosts(
+        self,
+        client: AgentClient,
+        version: int,
+        wait_s: float,
+    ) -> int:
+        """Wait until all live hosts have a version, and say which have not."""
+        if not wait_s:
+            return EXIT_OK
+        deadline = time.monotonic() + wait_s
+        behind = hosts_behind(client, version)
+        while behind != Ok([]) and time.monotonic() < deadline:
+            time.sleep(POLL_S)
+            behind = hosts_behind(client, version)
+        if isinstance(behind, Err):
+            return self.refused(behind.err_value)
+        for host in behind.ok_value:
+            seen = '' if host.reachable else ', not reachable'
+            self.complain(f'{host.name} has version {host.version}{seen}')
+        if behind.ok_value:
+            return EXIT_REFUSED
+        self.emit(f'all live hosts have version {version}')
+        return EXIT_OK
+
+
+def hosts_behind(
+    client: AgentClient,
+    version: int,
+) -> Result[list[HostStatus], Failure]:
+    """Ask an agent which live hosts do not have a version."""
+    report = client.get_json('/v1/status', StatusReport)
+    return report.map(lambda found: lagging(found, version))
+
+
+def lagging(report: StatusReport, version: int) -> list[HostStatus]:
+    """Return the live hosts that are not known to have a version."""
+    return [
+        host
+        for host in report.hosts
+        if host.state == 'live'
+        and not host.leaving
+        and (host.version < version or not host.reachable)
+    ]
+
+
+def number_problems(replaces: str, wait: str) -> list[Problem]:
+    """Return what is wrong with the numbers among the options."""
+    problems = []
+    if not (replaces.isascii() and replaces.isdigit()):
+        shown = replaces or '(missing)'
+        rule = 'must be the number of the version that is replaced'
+        problems.append(Problem('--replaces', '$', shown, rule))
+    if not wait.replace('.', '', 1).isdigit():
+        problems.append(Problem('--wait', '$', wait, 'must be seconds'))
+    return problems
--- a/egretmill/errors.py
+++ b/egretmill/errors.py
@@ -46,6 +46,8 @@
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
     VERSION_CONFLICT = 'version_conflict'
     INVALID_DOCUMENT = 'invalid_document'
+    TRANSITION_REFUSED = 'transition_refused'
+    PROMOTION_UNKNOWN = 'promotion_unknown'
     MALFORMED_FRAME = 'malformed_frame'
     PEER_UNREACHABLE = 'peer_unreachable'
     NOT_FOUND = 'not_found'
@@ -103,6 +105,8 @@
         ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, Outcome.NOT_RUN, 2),
         ErrorKind.VERSION_CONFLICT: Answer(409, Outcome.NOT_RUN),
         ErrorKind.INVALID_DOCUMENT: Answer(422, Outcome.NOT_RUN),
+        ErrorKind.TRANSITION_REFUSED: Answer(409, Outcome.NOT_RUN),
+        ErrorKind.PROMOTION_UNKNOWN: Answer(504, Outcome.UNKNOWN, 2),
         ErrorKind.MALFORMED_FRAME: Answer(400, Outcome.NOT_RUN),
         ErrorKind.PEER_UNREACHABLE: Answer(503, Outcome.NOT_RUN, 1),
         ErrorKind.NOT_FOUND: Answer(404, Outcome.NOT_RUN),
--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -91,6 +91,12 @@
         logging.INFO,
         'The platform answers again.',
     )
+    PROMOTION_UNKNOWN = Event(
+        207,
+        'promotion_unknown',
+        logging.WARNING,
+        'A promotion may have taken effect; the platform did not tell.',
+    )
     REQUEST_ROUTED = Event(
         301,
         'request_routed',
--- a/egretmill/settings/model.py
+++ b/egretmill/settings/model.py
@@ -16,6 +16,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+TokenDigest = Annotated[str, msgspec.Meta(pattern='^sha256:[0-9a-f]{64}$')]
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -29,6 +30,7 @@
     steer: Port = 8081
     agent: Port = 8090
     entry_peer: Port = 8091
+    operations: Port = 8092
 
 
 class PlatformSettings(Model):
@@ -63,7 +65,11 @@
 
 
 class HostSettings(Model):
-    """Settings of one host, shared by its programs."""
+    """Settings of one host, shared by its programs.
+
+    ``operations_token_digest`` is the digest of the token that operators
+    send; without it the operations port answers whoever can reach it.
+    """
 
     name: Name
     failure_domain: Name
@@ -73,3 +79,4 @@
     log: LogSettings = LogSettings()
     timing: TimingSettings = TimingSettings()
     metrics: MetricsSettings | None = None
+    operations_token_digest: TokenDigest | None = None
--- a/egretmill/wire/messages.py
+++ b/egretmill/wire/messages.py
@@ -84,7 +84,11 @@
 
 
 class PeerState(Record):
-    """What the local agent knows of an entry host."""
+    """What the local agent knows of an entry host.
+
+    ``confirmation_age_s`` is the age of the host's last confirmation of
+    its version, ``None`` when it has none or is not known.
+    """
 
     host: HostRecord
     incarnation: int
@@ -93,6 +97,7 @@
     leaving: bool
     entry_ready: bool
     slot_index: int | None = None
+    confirmation_age_s: float | None = None
 
 
 class PullState(Message):
--- /dev/null
+++ b/tests/agent/test_operations.py
@@ -0,0 +1,232 @@
+"""The operations port answers bad input clearly and checks its token."""
+
+import json
+
+import pytest
+from result import Err, Ok
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from egretmill.accounts import digest_of
+from egretmill.agent.operations import make_application
+from egretmill.document import Environment
+from egretmill.document.promotion import Promoter
+from egretmill.errors import ErrorKind, Failure
+from egretmill.wire.messages import Explained, HostRecord, PeerState
+from tests.document.fakes import Clock, FakeStore, sample
+
+BODY = sample().encode()
+PROMOTE = '/v1/promote?replaces=0&attempt=attempt-1&operator=anna'
+TOKEN = 'token-of-the-operators'
+
+
+class FakeView:
+    """An agent with one peer."""
+
+    host = 'eh-1'
+
+    def __init__(self) -> None:
+        """Start without a document."""
+        clock = Clock()
+        self.environment = None
+        self.store = FakeStore(clock)
+        self.promoter = Promoter(self.store, 'eh-1', clock, sleep=clock.sleep)
+        self.records = [
+            record('eh-2', version=6, reachable=False, slot=None, age=None),
+            record('eh-1', version=7, reachable=True, slot=0, age=0.25),
+        ]
+
+    def peers(self):
+        """Return all hosts."""
+        return self.records
+
+    async def explain(self, question):
+        """Explain one route only."""
+        if question.path == '/crash':
+            raise ValueError('unexpected')
+        if question.path != '/rota':
+            return Err(Failure(ErrorKind.UNKNOWN_ROUTE, question.path))
+        return Ok(Explained((f'route {question.path}', 'site tb1')))
+
+    async def retire(self, host):
+        """Retire one host only."""
+        if host != 'eh-2':
+            return Err(Failure(ErrorKind.NOT_FOUND, f'{host} has no slot'))
+        return Ok(None)
+
+
+def record(name, *, version, reachable, slot, age):
+    """Return the state of a host."""
+    host = HostRecord(name, 'tbilisi-a', '10.0.0.1', 1, 2, 3, 4)
+    return PeerState(
+        host,
+        incarnation=3,
+        version=version,
+        reachable=reachable,
+        leaving=False,
+        entry_ready=reachable,
+        slot_index=slot,
+        confirmation_age_s=age,
+    )
+
+
+class Port:
+    """A served operations port."""
+
+    def __init__(self, view, token_digest=None) -> None:
+        """Listen on a free port of the loopback address."""
+        socket, port = bind_unused_port()
+        self.server = HTTPServer(make_application(view, token_digest))
+        self.server.add_sockets([socket])
+        self.url = f'http://127.0.0.1:{port}'
+
+    async def call(self, method, path, body=None, **headers):
+        """Return status and body of one request."""
+        answer = await AsyncHTTPClient().fetch(
+            self.url + path,
+            method=method,
+            body=body,
+            headers=headers,
+            raise_error=False,
+            allow_nonstandard_methods=True,
+        )
+        return answer.code, answer.body.decode()
+
+
+@pytest.fixture
+async def view():
+    """Return an agent."""
+    return FakeView()
+
+
+@pytest.fixture
+async def port(view):
+    """Return a port without a token."""
+    opened = Port(view)
+    yield opened
+    opened.server.stop()
+
+
+async def test_promote_answers_version_and_digest(port, view):
+    """Guards against a promotion whose result the operator cannot read."""
+    status, body = await port.call('POST', PROMOTE, BODY)
+    expected = Environment.from_bytes(BODY).unwrap().digest
+    assert status == 200
+    assert json.loads(body) == {'version': 1, 'digest': expected}
+
+
+async def test_loser_gets_a_conflict(port):
+    """Guards against a lost race that looks like another error."""
+    await port.call('POST', PROMOTE, BODY)
+    other = PROMOTE.replace('attempt-1', 'attempt-2')
+    status, body = await port.call('POST', other, BODY)
+    assert (status, json.loads(body)['error']) == (409, 'version_conflict')
+
+
+async def test_status_lists_hosts_by_name(port, view):
+    """Guards against a status that leaves a host out."""
+    view.environment = Environment.from_bytes(BODY, version=7).unwrap()
+    status, body = await port.call('GET', '/v1/status')
+    report = json.loads(body)
+    assert (status, report['version']) == (200, 7)
+    assert report['hosts'][0] == {
+        'name': 'eh-1',
+        'state': 'live',
+        'incarnation': 3,
+        'version': 7,
+        'confirmation_age_s': 0.25,
+        'reachable': True,
+        'ready': True,
+        'leaving': False,
+        'slot': 0,
+    }
+    assert report['hosts'][1]['name'] == 'eh-2'
+
+
+async def test_document_keeps_its_bytes(port, view):
+    """Guards against a document that is rewritten on the way."""
+    assert (await port.call('GET', '/v1/document'))[0] == 404
+    view.environment = Environment.from_bytes(BODY, version=7).unwrap()
+    assert await port.call('GET', '/v1/document') == (200, BODY.decode())
+
+
+async def test_explain_and_retire(port):
+    """Guards against answers that are not passed on."""
+    asked = '{"method": "GET", "path": "/rota"}'
+    status, body = await port.call('POST', '/v1/explain', asked)
+    assert json.loads(body) == {'lines': ['route /rota', 'site tb1']}
+    status, body = await port.call('POST', '/v1/retire', '{"host": "eh-2"}')
+    assert (status, json.loads(body)) == (200, {'retired': 'eh-2'})
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'status', 'kind'),
+    [
+        ('POST', '/v1/promote', b'', 400, 'bad_request'),
+        ('POST', PROMOTE.replace('=0', '=-1'), b'', 400, 'bad_request'),
+        ('POST', PROMOTE.replace('=0', '=%FF'), b'', 400, 'bad_request'),
+        ('POST', PROMOTE.replace('=0', '=%0A1'), b'', 400, 'bad_request'),
+        ('POST', PROMOTE.replace('=anna', '='), b'', 400, 'bad_request'),
+        ('POST', PROMOTE, b'\xff', 422, 'invalid_document'),
+        ('GET', '/v1/promote', None, 405, 'method_not_allowed'),
+        ('POST', '/v1/explain', b'[]', 400, 'bad_request'),
+        ('POST', '/v1/explain', b'{"method": 1}', 400, 'bad_request'),
+        ('POST', '/v1/explain', b'\xff\x00', 400, 'bad_request'),
+        (
+            'POST',
+            '/v1/explain',
+            b'{"method": "GET", "path": "/x"}',
+            404,
+            'unknown_route',
+        ),
+        ('POST', '/v1/retire', b'{"host": "x", "a": 1}', 400, 'bad_request'),
+        ('POST', '/v1/retire', b'{"host": "eh-9"}', 404, 'not_found'),
+        ('GET', '/v2/status', None, 404, 'not_found'),
+        (
+            'POST',
+            '/v1/explain',
+            b'{"method": "GET", "path": "/crash"}',
+            500,
+            'internal',
+        ),
+    ],
+)
+async def test_bad_input_gets_a_clear_error(
+    port,
+    method,
+    path,
+    body,
+    status,
+    kind,
+):
+    """Guards against tracebacks and unclear answers."""
+    found, text = await port.call(method, path, body)
+    answer = json.loads(text)
+    assert (found, answer['error']) == (status, kind)
+    assert answer['detail']
+    assert 'Traceback' not in text
+
+
+@pytest.mark.parametrize(
+    ('headers', 'status'),
+    [
+        ({}, 401),
+        ({'Authorization': f'Basic {TOKEN}'}, 401),
+        ({'Authorization': 'Bearer wrong'}, 403),
+        ({'Authorization': f'Bearer {TOKEN}'}, 200),
+    ],
+)
+async def test_token_is_required_when_set(view, headers, status):
+    """Guards against an operations port that is open by mistake."""
+    port = Port(view, digest_of(TOKEN))
+    assert (await port.call('GET', '/v1/status', **headers))[0] == status
+    port.server.stop()
+
+
+async def test_wrong_token_changes_nothing(view):
+    """Guards against a check that runs after the handler."""
+    port = Port(view, digest_of(TOKEN))
+    status, _ = await port.call('POST', PROMOTE, BODY, Authorization='Bearer x')
+    assert (status, view.store.calls) == (403, [])
+    port.server.stop()
