Add membership: peers and confirmation of versions

The agent needs to know which entry hosts answer, which incarnation of each runs, when the version in force was last the newest one, and which version every holder of a share slot has at least.

Confirmation counts ages from before the request was sent. The outage rule needs every slot to be accounted for, every holder and every reachable host to be silent, and no promotion of unknown outcome: the platform age that a host sends is 0 while it has one, or while it knows a newer version than the one in force. A slot of which nothing is known holds the settled version down until one lease after the newest version became known.

--- /dev/null
+++ b/egretmill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, incarnations, heartbeats, confirmation of versions."""
--- /dev/null
+++ b/tests/membership/test_confirmation.py
@@ -0,0 +1,221 @@
+"""Confirmation of versions and the version that all holders have."""
+
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretmill.membership.confirmation import Confirmation
+from egretmill.wire.messages import Heartbeat, HostRecord, PeerState
+
+LEASE_END_S = 4204.2
+
+
+@pytest.fixture
+def confirmation():
+    """Return host ``a`` with version 3 applied, read at 0 s."""
+    aggregate = Confirmation('a')
+    aggregate.platform_read(3, 0, 0.1)
+    aggregate.apply(3, 0.1)
+    return aggregate
+
+
+def peer(name, incarnation=1, version=3, reachable=True):
+    """Return the state of a peer."""
+    host = HostRecord(name, 'fd-1', '127.0.0.1', 1, 2, 3, 4)
+    return PeerState(host, incarnation, version, reachable, False, True)
+
+
+def silent_beat(make_beat, host, slot_index, **fields):
+    """Return the heartbeat of a host without platform."""
+    defaults = {'version': 3, 'platform_age_s': 10, 'confirmation_age_s': 10}
+    return make_beat(host=host, slot_index=slot_index, **(defaults | fields))
+
+
+def test_own_read_confirms_from_before_it_was_sent(confirmation):
+    """Guards against a slow answer that counts as fresh."""
+    confirmation.platform_read(3, 5, 9)
+    assert confirmation.applied_at == 5
+
+
+def test_age_of_a_peer_counts_from_before_the_request(confirmation, make_beat):
+    """Guards against time in flight that makes a confirmation younger."""
+    beat = make_beat(version=3, confirmation_age_s=2)
+    confirmation.heard(beat, 10, 14)
+    assert confirmation.applied_at == 8
+
+
+def test_heartbeat_that_came_as_a_request_confirms_nothing(
+    confirmation,
+    make_beat,
+):
+    """Guards against a request that waited in a buffer."""
+    confirmation.heard(make_beat(version=3), None, 10)
+    assert confirmation.applied_at == 0
+
+
+@pytest.mark.parametrize('age_s', [math.nan, -1, math.inf])
+def test_impossible_ages_confirm_nothing(confirmation, make_beat, age_s):
+    """Guards against a peer whose clock or memory is broken."""
+    confirmation.heard(make_beat(version=3, confirmation_age_s=age_s), 9, 9)
+    assert confirmation.applied_at == 0
+
+
+def test_confirmation_of_a_newer_version_is_none_of_the_old_one(
+    confirmation,
+    make_beat,
+):
+    """Guards against a superseded version that looks confirmed."""
+    assert confirmation.heard(make_beat(version=4), 9, 9)
+    assert confirmation.applied_at == 0
+    assert confirmation.platform_age_s(9) == 0
+    assert confirmation.apply(4, 9)
+    assert confirmation.applied_at == 9
+
+
+def test_lower_version_is_not_applied_or_confirmed(confirmation):
+    """Guards against a configuration that reverts."""
+    assert not confirmation.platform_read(2, 5, 5)
+    assert not confirmation.apply(2, 5)
+    assert (confirmation.applied, confirmation.applied_at) == (3, 0)
+
+
+def test_outage_rule_renews_up_to_the_earliest_request(
+    confirmation,
+    make_beat,
+):
+    """Guards against an outage that makes a connected fleet unconfirmed."""
+    confirmation.heard(silent_beat(make_beat, 'b', 0), 20, 20.1)
+    confirmation.heard(silent_beat(make_beat, 'c', 1), 20.3, 20.4)
+    peers = (peer('b'), peer('c'))
+    assert confirmation.apply_outage_rule(peers, 2, 20.5)
+    assert confirmation.applied_at == 20
+
+
+@pytest.mark.parametrize(
+    ('fields', 'peers', 'slots'),
+    [
+        ({'platform_age_s': 0.4}, (peer('b'), peer('c')), 2),
+        ({}, (peer('b'), peer('c', reachable=False)), 2),
+        ({}, (peer('b'), peer('c', incarnation=2)), 2),
+        ({}, (peer('b'),), 2),
+        ({}, (peer('b'), peer('c')), 3),
+        ({}, (peer('b'), peer('c'), peer('d')), 2),
+    ],
+    ids=[
+        'reaches the platform',
+        'unreachable holder',
+        'restarted holder',
+        'unknown holder',
+        'unknown slot',
+        'fresh host not heard',
+    ],
+)
+def test_outage_rule_needs_every_host(
+    confirmation,
+    make_beat,
+    fields,
+    peers,
+    slots,
+):
+    """Guards against a promotion through a host that was not asked."""
+    confirmation.heard(silent_beat(make_beat, 'b', 0), 20, 20.1)
+    confirmation.heard(silent_beat(make_beat, 'c', 1, **fields), 20, 20.1)
+    assert not confirmation.apply_outage_rule(peers, slots, 20.5)
+    assert confirmation.applied_at <= 10
+
+
+def test_outage_rule_waits_for_an_open_promotion(confirmation, make_beat):
+    """Guards against a promotion that took effect without its answer."""
+    confirmation.heard(silent_beat(make_beat, 'b', 0), 20, 20.1)
+    confirmation.promotion_started()
+    assert confirmation.platform_age_s(20.2) == 0
+    assert not confirmation.apply_outage_rule((peer('b'),), 1, 20.2)
+    confirmation.promotion_settled()
+    assert confirmation.apply_outage_rule((peer('b'),), 1, 20.2)
+
+
+def test_silence_must_outlast_the_time_in_flight(confirmation, make_beat):
+    """Guards against an age that was measured before the request."""
+    slow = silent_beat(make_beat, 'b', 0, platform_age_s=4)
+    confirmation.heard(slow, 20, 24)
+    assert not confirmation.apply_outage_rule((peer('b'),), 1, 24)
+
+
+def test_settled_version_counts_silent_holders_until_their_lease_ends(
+    confirmation,
+    make_beat,
+):
+    """Guards against a share that grows while another still uses it."""
+    beat = make_beat(version=2, slot_index=0)
+    confirmation.heard(beat, 10, 10.1)
+    assert confirmation.settled_version(11, 1) == 2
+    assert confirmation.settled_version(10 + LEASE_END_S - 1, 1) == 2
+    assert confirmation.settled_version(10 + LEASE_END_S + 1, 1) == 3
+
+
+def test_settled_version_follows_the_holder(confirmation, make_beat):
+    """Guards against a version that stays unsettled after all have it."""
+    confirmation.heard(make_beat(version=2, slot_index=0), 10, 10.1)
+    confirmation.heard(make_beat(version=3, slot_index=0), 11, 11.1)
+    assert confirmation.settled_version(12, 1) == 3
+
+
+def test_restarted_holder_counts_with_its_own_version(confirmation, make_beat):
+    """Guards against the version of the earlier process."""
+    confirmation.heard(make_beat(version=3, slot_index=0), 10, 10.1)
+    restarted = make_beat(incarnation=2, version=1, slot_index=0)
+    confirmation.heard(restarted, 11, 11.1)
+    late = make_beat(incarnation=1, version=3, slot_index=0)
+    confirmation.heard(late, 10.5, 11.2)
+    assert confirmation.settled_version(12, 1) == 1
+
+
+def test_unknown_slot_counts_until_one_lease_after_the_version(confirmation):
+    """Guards against a holder that was never heard of."""
+    assert confirmation.settled_version(1, 1) == 0
+    assert confirmation.settled_version(LEASE_END_S, 1) == 0
+    assert confirmation.settled_version(LEASE_END_S + 1, 1) == 3
+
+
+def test_rows_tell_free_and_held_slots(confirmation, make_beat):
+    """Guards against a free slot that keeps a version unsettled."""
+    confirmation.holders.rows_read({0: None, 1: 'b'}, 5)
+    assert confirmation.settled_version(6, 2) == 0
+    confirmation.heard(make_beat(version=3, slot_index=1), 6, 6)
+    assert confirmation.settled_version(6, 2) == 3
+    confirmation.holders.rows_read({0: None, 1: 'c'}, 5)
+    assert confirmation.settled_version(6, 2) == 3
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(['read', 'heard', 'request', 'apply']),
+        st.integers(0, 6),
+        st.floats(0, 3),
+    ),
+    max_size=40,
+)
+
+
+@settings(derandomize=True)
+@given(STEPS)
+def test_version_in_force_never_falls(steps):
+    """Guards against any order of reads, heartbeats and documents."""
+    confirmation = Confirmation('a')
+    now = 0
+    for action, version, age_s in steps:
+        now += 1
+        before = (confirmation.applied, confirmation.newest)
+        beat = Heartbeat('b', 1, version, age_s, 0, False, True)
+        if action == 'read':
+            confirmation.platform_read(version, now - age_s, now)
+        elif action == 'apply':
+            confirmation.apply(version, now)
+        else:
+            sent_at = now - age_s if action == 'heard' else None
+            confirmation.heard(beat, sent_at, now)
+        assert confirmation.applied >= before[0]
+        assert confirmation.newest >= max(before[1], confirmation.applied)
+        assert confirmation.applied_at <= now
