--- /dev/null
+++ b/egretmill/agent/platform_watch.py
@@ -0,0 +1,109 @@
+"""Follows the platform's host list and the rows of the share slots."""
+
+import asyncio
+
+from result import Err, Ok
+
+from egretmill.agent.state import AgentState
+from egretmill.membership import slots
+from egretmill.membership.slot_keeper import SlotKeeper, SlotTiming
+from egretmill.store import StoreClient
+
+__all__ = ('PlatformWatch',)
+
+HOST_LIST_INTERVAL_S = 1.0
+# Rows of other failure domains say which slots are free or have a new
+# holder; heartbeats say the same earlier for hosts that answer.
+ROWS_INTERVAL_S = 3.0
+SLOT_TICK_S = 0.2
+
+
+class PlatformWatch:
+    """Keeps host list, share slot and slot rows up to date."""
+
+    def __init__(self, state: AgentState, store: StoreClient) -> None:
+        """Read through a client of the platform."""
+        self.state = state
+        self.store = store
+
+    async def run_hosts(self) -> None:
+        """Read the host list until cancelled."""
+        while True:
+            await self.read_hosts()
+            await asyncio.sleep(HOST_LIST_INTERVAL_S)
+
+    async def read_hosts(self) -> None:
+        """Read the host list once; the last one stays in an outage."""
+        read = await self.store.hosts()
+        if isinstance(read, Err):
+            return
+        now = self.state.now()
+        self.state.confirmation.platform_answered(now)
+        hosts = read.ok_value
+        changes = self.state.peers.apply_host_list(hosts.entry_hosts, now)
+        self.state.log_changes(changes)
+        self.state.upstreams = hosts.upstreams
+
+    async def run_slot(self) -> None:
+        """Acquire and renew the share slot until cancelled."""
+        while True:
+            await self.step_slot()
+            await asyncio.sleep(SLOT_TICK_S)
+
+    async def step_slot(self) -> None:
+        """Let the keeper do what is due."""
+        environment = self.state.environment
+        domain = self.state.settings.failure_domain
+        if environment is None or domain not in environment.failure_domains:
+            return
+        layout = slots.layout_of(environment.document, domain)
+        if self.state.keeper is None:
+            self.state.keeper = self.make_keeper(layout)
+        keeper = self.state.keeper
+        keeper.use_layout(layout)
+        keeper.timing = SlotTiming(environment.document.quota.lease_s)
+        await keeper.step(self.state.now())
+
+    def make_keeper(self, layout: slots.SlotLayout) -> SlotKeeper:
+        """Return the keeper of this host's slot."""
+        holder = slots.Holder(
+            self.state.settings.name,
+            self.state.settings.address,
+            self.state.incarnation,
+        )
+        return SlotKeeper(self.store, holder, layout, clock=self.state.now)
+
+    async def run_rows(self) -> None:
+        """Read the slot rows of all failure domains until cancelled."""
+        while True:
+            if self.state.environment is not None:
+                await self.read_rows()
+            await asyncio.sleep(ROWS_INTERVAL_S)
+
+    async def read_rows(self) -> None:
+        """Learn which slots are held by whom and which are free."""
+        document = self.state.environment.document
+        for domain in document.failure_domains:
+            sent_at = self.state.now()
+            read = await self.store.get_row(slots.row_key(domain.name))
+            if isinstance(read, Err):
+                return
+            body = read.ok_value.body if read.ok_value else ''
+            decoded = slots.decode_row(body) if body else Ok(slots.SlotRow())
+            if isinstance(decoded, Ok):
+                layout = slots.layout_of(document, domain.name)
+                holders = holders_of(decoded.ok_value, layout)
+                rows = self.state.confirmation.holders
+                rows.rows_read(holders, sent_at)
+
+
+def holders_of(
+    row: slots.SlotRow,
+    layout: slots.SlotLayout,
+) -> dict[int, str | None]:
+    """Return the holder of each slot of a domain by fleet-wide index."""
+    found: dict[int, str | None] = {}
+    for index in range(layout.count):
+        held = row.at(index)
+        found[layout.first + index] = held.holder if held else None
+    return found
--- /dev/null
+++ b/egretmill/agent/promotions.py
@@ -0,0 +1,63 @@
+"""Promotions through this agent, known to the confirmation of versions."""
+
+from result import Err, Result
+
+from egretmill.document.promotion import (
+    CurrentVersion,
+    Promoted,
+    Promoter,
+)
+from egretmill.errors import ErrorKind, Failure
+from egretmill.membership.confirmation import Confirmation
+
+__all__ = ('TrackedPromoter',)
+
+
+class TrackedPromoter(Promoter):
+    """Tells the confirmation while a promotion has no known outcome.
+
+    Peers must not conclude from this host's silence about the platform
+    that nothing was promoted while such a promotion is open.
+    """
+
+    confirmation: Confirmation
+    unknown = 0
+
+    async def promote(
+        self,
+        body: bytes,
+        expected_version: int,
+        attempt_id: str,
+        operator: str,
+    ) -> Result[Promoted, Failure]:
+        """Promote; an unknown outcome stays open until the next read."""
+        self.confirmation.promotion_started()
+        promoted = await super().promote(
+            body,
+            expected_version,
+            attempt_id,
+            operator,
+        )
+        if is_unknown(promoted):
+            self.unknown += 1
+            return promoted
+        self.confirmation.promotion_settled()
+        return promoted
+
+    async def fetch_current(self) -> Result[CurrentVersion | None, Failure]:
+        """Read the version row, which settles unknown outcomes."""
+        pending = self.unknown
+        read = await super().fetch_current()
+        if isinstance(read, Err):
+            return read
+        for _ in range(pending):
+            self.confirmation.promotion_settled()
+        self.unknown -= pending
+        return read
+
+
+def is_unknown(promoted: Result[Promoted, Failure]) -> bool:
+    """Tell whether a promotion may or may not have taken effect."""
+    if not isinstance(promoted, Err):
+        return False
+    return promoted.err_value.kind is ErrorKind.PROMOTION_UNKNOWN
--- /dev/null
+++ b/egretmill/agent/state.py
@@ -0,0 +1,165 @@
+"""What the agent knows of its host, its peers and the platform."""
+
+import dataclasses
+import time
+from collections.abc import Callable, Iterable
+
+from egretmill import events
+from egretmill.document import Environment
+from egretmill.logs import log_event
+from egretmill.membership.confirmation import Confirmation
+from egretmill.membership.peers import PeerChange, Peers
+from egretmill.membership.slot_keeper import SlotKeeper
+from egretmill.metrics import Metrics
+from egretmill.settings import HostSettings
+from egretmill.wire import messages
+
+__all__ = ('AgentState', 'LocalProgram')
+
+# The entry program reports ten times a second; after this time without a
+# report it is treated as gone.
+LOCAL_SILENT_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class LocalProgram:
+    """The last report of a program of this host."""
+
+    incarnation: int = 0
+    ready: bool = False
+    leaving: bool = False
+    seen_at: float = float('-inf')
+
+    def is_present(self, now: float) -> bool:
+        """Tell whether the program has reported lately."""
+        return now - self.seen_at <= LOCAL_SILENT_S
+
+
+class AgentState:
+    """All state of one agent; changed on one loop only."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        incarnation: int,
+        metrics: Metrics,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Know nothing but the own settings."""
+        self.settings = settings
+        self.incarnation = incarnation
+        self.metrics = metrics
+        self.now = now
+        self.environment: Environment | None = None
+        self.peers = Peers(settings.name, settings.timing.heartbeat_s)
+        self.confirmation = Confirmation(settings.name)
+        self.keeper: SlotKeeper | None = None
+        self.upstreams: tuple[messages.UpstreamRecord, ...] = ()
+        self.entry = LocalProgram()
+        self.steer = LocalProgram()
+        self.leaving = False
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 when there is none."""
+        return self.environment.version if self.environment else 0
+
+    @property
+    def share_slots(self) -> int:
+        """Return the number of share slots of the fleet."""
+        return self.environment.share_slots if self.environment else 0
+
+    def own_record(self) -> messages.HostRecord:
+        """Return this host as an entry of the host list."""
+        ports = self.settings.ports
+        return messages.HostRecord(
+            name=self.settings.name,
+            failure_domain=self.settings.failure_domain,
+            address=self.settings.address,
+            entry_port=ports.entry,
+            steer_port=ports.steer,
+            agent_port=ports.agent,
+            entry_peer_port=ports.entry_peer,
+        )
+
+    def slot(self) -> messages.ShareSlot | None:
+        """Return the share slot that may be used now."""
+        return self.keeper.current(self.now()) if self.keeper else None
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Return the state of this host for its peers."""
+        now = self.now()
+        slot = self.slot()
+        present = self.entry.is_present(now)
+        return messages.Heartbeat(
+            host=self.settings.name,
+            incarnation=self.incarnation,
+            version=self.version,
+            confirmation_age_s=self.confirmation.age_s(now),
+            platform_age_s=self.confirmation.platform_age_s(now),
+            leaving=self.leaving or self.entry.leaving,
+            entry_ready=present and self.entry.ready,
+            slot_index=slot.index if slot else None,
+            entry_incarnation=self.entry.incarnation,
+        )
+
+    def peer_states(self) -> tuple[messages.PeerState, ...]:
+        """Return all known entry hosts, this one included."""
+        now = self.now()
+        self.peers.report_own(self.own_record(), self.heartbeat(), now)
+        return self.peers.states(now)
+
+    def host_state(self, known_version: int) -> messages.HostState:
+        """Return the state for a program of this host."""
+        now = self.now()
+        body = b''
+        if self.environment and self.version > known_version:
+            body = self.environment.body
+        document = self.environment and self.environment.document
+        return messages.HostState(
+            host=self.settings.name,
+            version=self.version,
+            document=body,
+            confirmed_at=self.confirmation.applied_at,
+            settled_version=self.confirmation.settled_version(
+                now,
+                self.share_slots,
+            ),
+            slot=self.slot(),
+            peers=self.peer_states(),
+            upstreams=self.upstreams,
+            blocks_digest=(document and document.client_blocks) or '',
+        )
+
+    def apply(self, environment: Environment) -> bool:
+        """Put a version in force; an older one is ignored."""
+        if not self.confirmation.apply(environment.version, self.now()):
+            return False
+        if environment.version == self.version:
+            return False
+        self.environment = environment
+        self.confirmation.holders.lease_s = environment.document.quota.lease_s
+        self.metrics.gauge('configuration.version', environment.version)
+        log_event(
+            events.CATALOGUE.CONFIGURATION_APPLIED,
+            version=environment.version,
+            digest=environment.digest,
+        )
+        return True
+
+    def log_changes(self, changes: Iterable[PeerChange]) -> None:
+        """Write what changed about peers."""
+        for change in changes:
+            self.metrics.count(f'membership.{change.event.name}')
+            log_event(
+                change.event,
+                peer=change.host,
+                incarnation=change.incarnation,
+                reason=change.reason,
+            )
+
+    def is_live(self, host: str, incarnation: int) -> bool:
+        """Tell whether an incarnation of a host is known to run."""
+        if host == self.settings.name:
+            return incarnation == self.incarnation
+        return self.peers.is_live(host, incarnation, self.now()) is True
--- /dev/null
+++ b/egretmill/entry/probes.py
@@ -0,0 +1,69 @@
+"""Reads the load reports of upstreams."""
+
+import asyncio
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from egretmill.entry.state import EntryState
+from egretmill.wire.messages import UpstreamRecord
+
+__all__ = ('LoadProbe', 'LoadReport')
+
+# A report older than 2 s is not used, so two may be lost in a row.
+PROBE_INTERVAL_S = 0.6
+PROBE_TIMEOUT_S = 0.5
+MAX_PROBES_AT_ONCE = 16
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """``GET /load`` of an upstream: requests running for all hosts."""
+
+    running: int
+    draining: bool = False
+
+
+class LoadProbe:
+    """Asks all upstreams for their load in turn."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Start without reports."""
+        self.state = state
+        self.client = AsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_PROBES_AT_ONCE,
+        )
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            await asyncio.gather(
+                asyncio.sleep(PROBE_INTERVAL_S),
+                *(self.probe(upstream) for upstream in self.upstreams()),
+            )
+
+    def upstreams(self) -> tuple[UpstreamRecord, ...]:
+        """Return the upstreams of the host list."""
+        if self.state.host is None:
+            return ()
+        return self.state.host.upstreams
+
+    async def probe(self, upstream: UpstreamRecord) -> None:
+        """Read one report; a missing one only ages the last."""
+        url = f'http://{upstream.address}:{upstream.port}/load'
+        try:
+            answer = await self.client.fetch(
+                url,
+                connect_timeout=PROBE_TIMEOUT_S,
+                request_timeout=PROBE_TIMEOUT_S,
+            )
+            report = msgspec.json.decode(answer.body, type=LoadReport)
+        except (HTTPError, OSError, msgspec.DecodeError):
+            self.state.metrics.count('probe.failed')
+            return
+        self.state.table.report(
+            upstream.name,
+            report.running,
+            report.draining,
+            self.state.now(),
+        )
--- /dev/null
+++ b/egretmill/entry/program.py
@@ -0,0 +1,159 @@
+"""Starts, runs and stops the entry program."""
+
+import asyncio
+import time
+
+from result import Err, Ok, Result
+from tornado import web
+from tornado.httpserver import HTTPServer
+
+from egretmill import events
+from egretmill.entry.explanation import explain
+from egretmill.entry.handler import ProxyHandler, TicketHandler
+from egretmill.entry.loans import LoanExchange
+from egretmill.entry.probes import LoadProbe
+from egretmill.entry.service import EntryService
+from egretmill.entry.state import EntryState
+from egretmill.errors import ErrorKind, Failure
+from egretmill.host_link import AgentLink
+from egretmill.logs import log_event
+from egretmill.membership.incarnation import next_incarnation
+from egretmill.metrics import Metrics
+from egretmill.programs import EXIT_OK, StopSignals
+from egretmill.settings import HostSettings
+from egretmill.wire import Peer, Server, messages
+
+__all__ = ('EntryProgram', 'serve')
+
+# Above the 16 KiB limit for callers, so that most oversized heads still
+# get an answer instead of a closed connection.
+MAX_HEADER_BYTES = 65536
+IDLE_CONNECTION_S = 75.0
+CHUNK_BYTES = 65536
+
+
+class EntryProgram:
+    """The parts of the entry program and their life."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Build the parts; nothing listens yet."""
+        self.settings = settings
+        self.metrics = Metrics.from_settings(settings.metrics, 'entry')
+        incarnation = next_incarnation(time.time())
+        self.state = EntryState(settings, incarnation, self.metrics)
+        self.agent = Peer(settings.address, settings.ports.agent)
+        self.service = EntryService(self.state, self.agent)
+        self.loans = LoanExchange(self.state)
+        self.probe = LoadProbe(self.state)
+        self.link = AgentLink(
+            self.agent,
+            settings.timing.agent_poll_s,
+            self.make_pull,
+            self.state.apply,
+        )
+        self.loops: list[asyncio.Task[None]] = []
+        self.http: HTTPServer | None = None
+        self.peer_server: Server | None = None
+
+    def make_pull(self) -> messages.PullState:
+        """Return what the agent is told about this program."""
+        return messages.PullState(
+            program='entry',
+            incarnation=self.state.incarnation,
+            known_version=self.state.version,
+            ready=self.state.ready,
+            leaving=self.state.leaving,
+        )
+
+    def start(self) -> None:
+        """Listen and start the loops."""
+        ports = self.settings.ports
+        address = self.settings.address
+        self.peer_server = Server(
+            address,
+            ports.entry_peer,
+            self.handle,
+            self.metrics,
+        )
+        self.peer_server.start()
+        self.http = HTTPServer(
+            self.make_application(),
+            max_header_size=MAX_HEADER_BYTES,
+            chunk_size=CHUNK_BYTES,
+            idle_connection_timeout=IDLE_CONNECTION_S,
+        )
+        self.http.listen(ports.entry, address)
+        self.loops = [
+            asyncio.create_task(self.link.run()),
+            asyncio.create_task(self.loans.run()),
+            asyncio.create_task(self.probe.run()),
+        ]
+        log_event(
+            events.CATALOGUE.STARTED,
+            program='entry',
+            host=self.settings.name,
+            address=f'{address}:{ports.entry}',
+            incarnation=self.state.incarnation,
+        )
+
+    def make_application(self) -> web.Application:
+        """Return the tornado application for callers."""
+        shared = {'service': self.service}
+        return web.Application(
+            [
+                ('/v1/tickets', TicketHandler, shared),
+                ('(/.*)', ProxyHandler, shared),
+            ],
+            default_handler_class=ProxyHandler,
+            default_handler_args=shared,
+            log_function=lambda handler: None,
+        )
+
+    async def handle(
+        self,
+        message: messages.Message,
+    ) -> Result[messages.Message, Failure]:
+        """Answer a message of a peer or of the local agent."""
+        match message:
+            case messages.Borrow():
+                return self.loans.lend(message)
+            case messages.Explain():
+                return Ok(explain(self.state, message))
+        kind = type(message).__name__
+        return Err(Failure(ErrorKind.BAD_REQUEST, f'unexpected {kind}'))
+
+    async def stop(self) -> None:
+        """Shut down gracefully: no request is cut."""
+        self.state.leaving = True
+        log_event(events.CATALOGUE.STOPPING, program='entry')
+        await asyncio.sleep(self.settings.timing.drain_s)
+        self.http.stop()
+        await self.service.drained()
+        await self.loans.give_back()
+
+    async def close(self) -> None:
+        """End everything that is left."""
+        for loop in self.loops:
+            loop.cancel()
+        self.http.stop()
+        self.peer_server.close()
+        self.agent.close()
+        await self.http.close_all_connections()
+
+
+async def serve(settings: HostSettings, signals: StopSignals) -> int:
+    """Run the entry program until its shutdown ends."""
+    program = EntryProgram(settings)
+    program.start()
+    await signals.requested.wait()
+    limit_s = settings.timing.shutdown_limit_s
+    complete = await signals.finish(program.stop(), limit_s)
+    cut = program.state.running
+    await program.close()
+    log_event(
+        events.CATALOGUE.STOPPED,
+        program='entry',
+        complete=complete,
+        requests_cut=cut,
+    )
+    return EXIT_OK
