Add the claim service, the ticket book and the share slot keeper

Cause: the agent and the entry program need claims for idempotency keys, tickets and share slots, all of which must survive lost answers, outages and restarts of their owners.

Change: egretmill.ledger holds the rows and decisions of claims, a batch writer, the asyncio ClaimService and the pure TicketBook. egretmill.membership has the model of the row shares/<failure domain> and the SlotKeeper. A claim whose outcome stays unknown becomes an orphan: the next claim at the same host replaces it, or a background task writes a released row at the version that the orphan's write expected, so that one of the two fails. Events 405, 502 and 503 are new.

Ruled out: reading before every claim (doubles the calls of the usual case), and treating an absent row as proof that a write had no effect (it may arrive later).

Slots and tickets have no tests of their own yet.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -145,12 +145,30 @@
         logging.DEBUG,
         'A peer lent a part of its share.',
     )
+    SHARE_SLOT_WAITING = Event(
+        405,
+        'share_slot_waiting',
+        logging.WARNING,
+        'No share slot of the failure domain is free; the host waits.',
+    )
     CLAIM_DECIDED = Event(
         501,
         'claim_decided',
         logging.INFO,
         'A claim for an idempotency key was decided; says how.',
     )
+    CLAIM_ORPHANED = Event(
+        502,
+        'claim_orphaned',
+        logging.WARNING,
+        'A claim was refused although its write may have taken effect.',
+    )
+    CLAIM_RELEASED = Event(
+        503,
+        'claim_released',
+        logging.INFO,
+        'An orphaned claim can no longer hold its key.',
+    )
     PEER_UP = Event(
         601,
         'peer_up',
--- /dev/null
+++ b/egretmill/ledger/__init__.py
@@ -0,0 +1,22 @@
+"""Claims for idempotency keys, tickets and stored answers."""
+
+from egretmill.ledger.claims import (
+    MAX_ANSWER_BYTES,
+    MAX_KEY_CHARS,
+    ClaimRow,
+    row_key,
+)
+from egretmill.ledger.service import ClaimLimits, ClaimService
+from egretmill.ledger.tickets import Ticket, TicketBook, TicketLimits
+
+__all__ = (
+    'MAX_ANSWER_BYTES',
+    'MAX_KEY_CHARS',
+    'ClaimLimits',
+    'ClaimRow',
+    'ClaimService',
+    'Ticket',
+    'TicketBook',
+    'TicketLimits',
+    'row_key',
+)
--- /dev/null
+++ b/egretmill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of the fleet: peers, reachability and share slots."""
