--- a/egretmill/wire/messages.py
+++ b/egretmill/wire/messages.py
@@ -225,7 +225,9 @@
     """An entry asks a peer for a part of its share of one total.
 
     ``amount`` is a rate per second for rate totals and a number of slots
-    for concurrency totals. ``renews`` names a loan that this one replaces.
+    for concurrency totals. ``renews`` names a loan that is extended with
+    these values; with ``duration_s`` 0 it is given back with ``tokens``.
+    ``borrow_id`` identifies the question and is repeated in the answer.
     """
 
     borrower: str
@@ -236,6 +238,7 @@
     tokens: float
     duration_s: float
     renews: str = ''
+    borrow_id: str = ''
 
 
 class Loan(Message):
@@ -257,6 +260,7 @@
     """Answer to :class:`Borrow`; empty when nothing can be spared."""
 
     loans: tuple[Loan, ...] = ()
+    borrow_id: str = ''
 
 
 class Explain(Message):
