--- a/egretmill/agent/program.py
+++ b/egretmill/agent/program.py
@@ -56,6 +56,7 @@
             lambda: self.state.environment,
         )
         self.promoter.confirmation = self.state.confirmation
+        self.promoter.unknown_outcomes = 0
         self.configuration = ConfigurationWatch(
             self.state,
             self.promoter,
--- a/egretmill/agent/promotions.py
+++ b/egretmill/agent/promotions.py
@@ -21,7 +21,7 @@
     """
 
     confirmation: Confirmation
-    unknown = 0
+    unknown_outcomes: int
 
     async def promote(
         self,
@@ -39,20 +39,20 @@
             operator,
         )
         if is_unknown(promoted):
-            self.unknown += 1
+            self.unknown_outcomes += 1
             return promoted
         self.confirmation.promotion_settled()
         return promoted
 
     async def fetch_current(self) -> Result[CurrentVersion | None, Failure]:
         """Read the version row, which settles unknown outcomes."""
-        pending = self.unknown
+        pending = self.unknown_outcomes
         read = await super().fetch_current()
         if isinstance(read, Err):
             return read
         for _ in range(pending):
             self.confirmation.promotion_settled()
-        self.unknown -= pending
+        self.unknown_outcomes -= pending
         return read
 
 
