--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -82,6 +82,7 @@
         self.log_level = log_level
         self.drain_s = drain_s
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.killed: set[str] = set()
         self.hosts = tuple(self.lay_out_hosts())
         self.upstreams = tuple(self.lay_out_upstreams())
 
@@ -197,8 +198,33 @@
                 env=os.environ | {'PYTHONUNBUFFERED': '1'},
             )
 
+    def agent_urls(self) -> list[str]:
+        """Return the options that name all agents to the command line."""
+        return [
+            part
+            for host in self.hosts
+            for part in (
+                '--agent',
+                f'http://{host.address}:{PortSettings().operations}',
+            )
+        ]
+
+    def unexpected_ends(self, statuses: dict[str, int]) -> dict[str, int]:
+        """Return the processes that neither ended well nor were killed."""
+        return {
+            name: status
+            for name, status in statuses.items()
+            if status and name.split('/')[0] not in self.killed
+        }
+
+    def log_tail(self, name: str) -> str:
+        """Return the end of what a process printed."""
+        log = self.folder / (name.replace('/', '.') + '.log')
+        return log.read_text()[-2000:]
+
     def kill_host(self, host: HostRecord) -> None:
         """Kill the programs of a host without warning."""
+        self.killed.add(host.name)
         for program in PROGRAMS:
             self.processes[f'{host.name}/{program}'].kill()
 
