Test the entry program in process: answers, outcomes, bad input, uploads

Guards the promises on keys, honest outcomes, whole answers and bounded memory at the level of HTTP, with stand-in upstreams and fault switches.

--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,171 @@
+"""An entry program in this process, with stand-in upstreams."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import time
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+
+from egretmill.accounts import digest_of
+from egretmill.entry.program import EntryProgram
+from egretmill.settings import HostSettings, PlatformSettings
+from egretmill.wire.messages import HostState, ShareSlot, UpstreamRecord
+from standins import upstream as standin
+
+__all__ = ('KEY', 'EntryHarness', 'running_entry')
+
+ADDRESS = '127.0.0.1'
+KEY = 'egk_test-key-of-the-first-account'
+DOCUMENT = pathlib.Path(__file__).with_name('environment.toml')
+# Above the loan time of the document (0.1 s) and its margin.
+SHARE_WAIT_S = 0.25
+LEASE_S = 600.0
+
+
+class EntryHarness:
+    """The program, its upstreams and a caller."""
+
+    def __init__(self, document: str | None = None) -> None:
+        """Lay out one host with one site and two upstreams per service."""
+        self.text = document or DOCUMENT.read_text()
+        self.text = self.text.replace('@digest@', digest_of(KEY))
+        self.version = 0
+        self.program = EntryProgram(
+            HostSettings(
+                name='host-1',
+                failure_domain='domain-a',
+                address=ADDRESS,
+                platform=PlatformSettings('http://127.0.0.1:9'),
+            ),
+        )
+        self.client = AsyncHTTPClient(force_instance=True, max_clients=100)
+        self.upstreams: dict[str, standin.Upstream] = {}
+        self.records: dict[str, UpstreamRecord] = {}
+        self.servers: dict[str, HTTPServer] = {}
+        self.base = ''
+        self.port = 0
+
+    @property
+    def state(self):
+        """Return the state of the entry program."""
+        return self.program.state
+
+    def start(self) -> None:
+        """Listen and put the document in force."""
+        for service in ('board', 'ledger', 'intake'):
+            for number in (1, 2):
+                self.add_upstream(service, f'{service}-{number}')
+        self.program.http = HTTPServer(self.program.make_application())
+        self.port, listening = bound_socket()
+        self.program.http.add_socket(listening)
+        self.base = f'http://{ADDRESS}:{self.port}'
+        self.apply(self.text)
+
+    def add_upstream(self, service: str, name: str, slots: int = 4) -> None:
+        """Start a stand-in upstream at the one site."""
+        upstream = standin.Upstream(name, slots)
+        server = HTTPServer(
+            standin.make_application(upstream),
+            max_body_size=standin.MAX_BODY_BYTES,
+        )
+        port, listening = bound_socket()
+        server.add_socket(listening)
+        self.upstreams[name] = upstream
+        self.servers[name] = server
+        self.records[name] = UpstreamRecord(
+            name=name,
+            service=service,
+            site='site-a',
+            address=ADDRESS,
+            port=port,
+            slots=slots,
+            max_connections=330,
+        )
+
+    def apply(self, text: str | None = None, **changes: object) -> None:
+        """Tell the program a new state of the host."""
+        if text is not None:
+            self.version += 1
+            self.text = text
+        now = time.monotonic()
+        state = HostState(
+            host='host-1',
+            version=self.version,
+            document=self.text.encode(),
+            confirmed_at=now,
+            settled_version=self.version,
+            slot=ShareSlot(0, 1, now + LEASE_S, 1.0),
+            peers=(),
+            upstreams=tuple(self.records.values()),
+        )
+        self.state.apply(msgspec.structs.replace(state, **changes))
+
+    def faults(self, service: str, **switches: object) -> None:
+        """Set fault switches of all upstreams of a service."""
+        for name, upstream in self.upstreams.items():
+            if name.startswith(service):
+                upstream.faults = standin.Faults(**switches)
+
+    async def kill(self, name: str) -> None:
+        """Close an upstream: connections to it are refused."""
+        self.servers[name].stop()
+        await self.servers[name].close_all_connections()
+
+    async def fetch(self, path: str, **options: object) -> HTTPResponse:
+        """Make a request with the key; statuses are not raised."""
+        headers = {'X-Api-Key': KEY} | dict(options.pop('headers', {}))
+        options.setdefault('request_timeout', 10)
+        request = HTTPRequest(self.base + path, headers=headers, **options)
+        return await self.client.fetch(request, raise_error=False)
+
+    def executions(self, mark: str) -> int:
+        """Return how often a marked request ran."""
+        return sum(
+            upstream.executions[mark] for upstream in self.upstreams.values()
+        )
+
+    async def raw(self, request: bytes, wait_s: float = 2.0) -> bytes:
+        """Send bytes and return all that comes back until the close."""
+        reader, writer = await asyncio.open_connection(ADDRESS, self.port)
+        writer.write(request)
+        received = b''
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            received = await asyncio.wait_for(reader.read(), wait_s)
+        writer.close()
+        return received
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.program.http.close_all_connections()
+        self.program.http.stop()
+        self.client.close()
+        for server in self.servers.values():
+            server.stop()
+            with contextlib.suppress(StreamClosedError):
+                await server.close_all_connections()
+
+
+def bound_socket() -> tuple[int, socket.socket]:
+    """Return a listening socket on a free port."""
+    listening = socket.socket()
+    listening.bind((ADDRESS, 0))
+    listening.listen(128)
+    listening.setblocking(False)  # noqa: FBT003
+    return listening.getsockname()[1], listening
+
+
+@contextlib.asynccontextmanager
+async def running_entry(document: str | None = None):
+    """Run an entry program for one test; its shares are usable."""
+    harness = EntryHarness(document)
+    harness.start()
+    await asyncio.sleep(SHARE_WAIT_S)
+    try:
+        yield harness
+    finally:
+        await harness.stop()
--- /dev/null
+++ b/tests/entry/test_uploads.py
@@ -0,0 +1,94 @@
+"""Streamed bodies: bounded memory, back-pressure and cut uploads."""
+
+import asyncio
+import json
+
+import xxhash
+
+from egretmill.entry.body import StreamedBody
+from tests.entry.harness import KEY, running_entry
+
+SIZE = 16777216
+
+
+def upload_head(size: int) -> bytes:
+    """Return the head of an upload request."""
+    return (
+        f'POST /intake HTTP/1.1\r\nHost: x\r\nX-Api-Key: {KEY}\r\n'
+        f'X-Work-Id: upload\r\nContent-Length: {size}\r\n\r\n'
+    ).encode()
+
+
+async def test_upload_arrives_whole():
+    """Guards against an upload that loses or changes bytes."""
+    body = bytes(range(256)) * (SIZE // 256)
+    async with running_entry() as entry:
+        answer = await entry.fetch('/intake', method='POST', body=body)
+        arrived = json.loads(answer.body)
+        assert arrived['received'] == SIZE
+        assert arrived['xxh3'] == xxhash.xxh3_64_hexdigest(body)
+
+
+async def test_upload_to_a_dead_upstream_goes_to_another():
+    """Guards against an upload that fails although no byte was sent."""
+    async with running_entry() as entry:
+        await entry.kill('intake-1')
+        for _ in range(4):
+            answer = await entry.fetch(
+                '/intake',
+                method='POST',
+                body=b'x' * 200000,
+            )
+            assert answer.code == 200
+
+
+async def test_upload_cut_by_the_caller_is_cancelled():
+    """Guards against upstream work that goes on without its caller."""
+    async with running_entry() as entry:
+        _, writer = await asyncio.open_connection('127.0.0.1', entry.port)
+        writer.write(upload_head(SIZE) + b'x' * 100000)
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        assert entry.state.running == 1
+        writer.close()
+        await asyncio.sleep(0.2)
+        assert entry.state.running == 0
+        assert entry.executions('upload') == 0
+
+
+async def test_slow_upstream_holds_the_caller_back():
+    """Guards against an upload that is read into memory."""
+    body = StreamedBody(None)
+    fed = 0
+    for _ in range(4):
+        await body.feed(b'x')
+        fed += 1
+    waiting = asyncio.create_task(body.feed(b'x'))
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    body.abandon()
+    await asyncio.wait_for(waiting, 1)
+    assert fed == body.queue.maxsize
+
+
+async def test_large_download_reaches_a_slow_caller_whole():
+    """Guards against answers that are cut or read into memory."""
+    size = 8388608
+    async with running_entry() as entry:
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            entry.port,
+            limit=4096,
+        )
+        head = (
+            f'GET /open?bytes={size} HTTP/1.1\r\nHost: x\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        writer.write(head.encode())
+        await reader.readuntil(b'\r\n\r\n')
+        received = 0
+        while chunk := await reader.read(262144):
+            received += len(chunk)
+            await asyncio.sleep(0.0005)
+        assert received == size
+        writer.close()
