Add look-ups and the steer program

Callers need to learn which entry hosts to use, also while the agent or the platform is gone.

The messages FetchBlocks and BlocksBody are new.

Ruled out: one array for all blocks (a change moves up to 16 MB); overlapping blocks where a later one wins (a typing error would move callers silently).

--- /dev/null
+++ b/egretmill/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Client blocks, placement of callers, look-up answers."""
--- /dev/null
+++ b/egretmill/steer/__init__.py
@@ -0,0 +1,1 @@
+"""The program that answers which entry hosts a caller should use."""
--- /dev/null
+++ b/egretmill/steer/blocks.py
@@ -0,0 +1,151 @@
+"""Fetch of client blocks from the agent, as a table or as a delta."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from egretmill import events
+from egretmill.errors import ErrorKind, Failure
+from egretmill.logs import log_event
+from egretmill.lookup.blocks import Delta
+from egretmill.lookup.blocks_file import BlocksReader, digest_steps
+from egretmill.steer.state import SteerState
+from egretmill.wire import Peer
+from egretmill.wire.messages import BlocksBody, FetchBlocks
+
+__all__ = ('BlocksFetch',)
+
+CALL_TIMEOUT_S = 2.0
+MAX_DELTA_BYTES = 4194304
+
+StepT = TypeVar('StepT')
+Part = Result[BlocksBody, Failure]
+
+
+class BlocksFetch:
+    """One fetch; look-ups go on with the earlier table until it ends."""
+
+    def __init__(self, peer: Peer, state: SteerState) -> None:
+        """Fetch over a link to the agent into the state."""
+        self.peer = peer
+        self.state = state
+
+    async def run(self, digest: str) -> Result[None, Failure]:
+        """Bring the blocks to a digest."""
+        first = await self.part(digest, self.state.blocks_digest, 0)
+        if isinstance(first, Err):
+            return first
+        if first.ok_value.kind == 'table':
+            done = await self.take_table(digest, first.ok_value)
+        else:
+            done = await self.take_delta(digest, first.ok_value)
+        if isinstance(done, Ok):
+            self.state.blocks_digest = digest
+            log_event(
+                events.CATALOGUE.CONFIGURATION_APPLIED,
+                blocks=digest,
+                form=first.ok_value.kind,
+            )
+        return done
+
+    async def take_table(
+        self,
+        digest: str,
+        first: BlocksBody,
+    ) -> Result[None, Failure]:
+        """Read a whole table and replace the one in use."""
+        reader = BlocksReader()
+        async for part in self.parts(first, ''):
+            if isinstance(part, Err):
+                return part
+            fed = reader.feed(part.ok_value.part)
+            if isinstance(fed, Err):
+                return fed
+        finished = reader.finish(digest)
+        if isinstance(finished, Err):
+            return finished
+        self.state.blocks = finished.ok_value
+        return Ok(None)
+
+    async def take_delta(
+        self,
+        digest: str,
+        first: BlocksBody,
+    ) -> Result[None, Failure]:
+        """Read a delta and apply it to the table in use.
+
+        The next fetch asks for the whole table if the result is not the
+        table that the digest names.
+        """
+        base = self.state.blocks_digest
+        if first.size > MAX_DELTA_BYTES:
+            return damaged(f'delta of {first.size} bytes')
+        body = b''
+        async for part in self.parts(first, base):
+            if isinstance(part, Err):
+                return part
+            body += part.ok_value.part
+        try:
+            delta = msgspec.msgpack.decode(body, type=Delta)
+        except msgspec.DecodeError as error:
+            return damaged(str(error))
+        if (delta.base, delta.digest) != (base, digest):
+            return damaged(f'delta leads from {delta.base} to {delta.digest}')
+        return await self.apply_delta(delta)
+
+    async def apply_delta(self, delta: Delta) -> Result[None, Failure]:
+        """Apply a delta in steps, between which look-ups are answered."""
+        steps = self.state.blocks.apply(delta)
+        if isinstance(steps, Err):
+            return steps
+        self.state.blocks_digest = ''
+        await run_steps(steps.ok_value)
+        found = await run_steps(digest_steps(self.state.blocks))
+        if found != delta.digest:
+            return damaged(f'delta led to {found}, not {delta.digest}')
+        return Ok(None)
+
+    async def parts(self, first: BlocksBody, base: str) -> AsyncIterator[Part]:
+        """Yield all parts; a failure is the last item."""
+        part = first
+        offset = 0
+        while True:
+            yield Ok(part)
+            offset += len(part.part)
+            if offset >= first.size:
+                return
+            answer = await self.part(first.digest, base, offset)
+            if isinstance(answer, Err):
+                yield answer
+                return
+            part = answer.ok_value
+
+    async def part(self, digest: str, base: str, offset: int) -> Part:
+        """Fetch and check one part."""
+        message = FetchBlocks(digest, base, offset)
+        answer = await self.peer.call(message, CALL_TIMEOUT_S)
+        if isinstance(answer, Err):
+            return answer
+        body = answer.ok_value
+        if not isinstance(body, BlocksBody) or not body.part:
+            return damaged(f'unexpected {type(body).__name__}')
+        if (body.digest, body.offset) != (digest, offset):
+            return damaged(f'part {body.offset} of {body.digest}')
+        return Ok(body)
+
+
+async def run_steps(steps: Iterator[StepT]) -> StepT | None:
+    """Run steps between the other work of the loop; return the last item."""
+    last = None
+    while (step := next(steps, None)) is not None:
+        last = step
+        await asyncio.sleep(0)
+    return last
+
+
+def damaged(detail: str) -> Err[Failure]:
+    """Return the failure of a damaged answer."""
+    return Err(Failure(ErrorKind.MALFORMED_FRAME, f'blocks: {detail}'))
--- /dev/null
+++ b/egretmill/steer/handlers.py
@@ -0,0 +1,227 @@
+"""HTTP interface of the steer program."""
+
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+from tornado import web
+
+from egretmill import events
+from egretmill.errors import ErrorKind, Failure
+from egretmill.logs import log_event
+from egretmill.lookup.answer import TTL_S, LookupAnswer
+from egretmill.metrics import Metrics
+from egretmill.steer.state import SteerState
+
+__all__ = ('make_application',)
+
+ENCODER = msgspec.json.Encoder()
+JSON = 'application/json'
+KIND_OF_STATUS = {
+    400: ErrorKind.BAD_REQUEST,
+    404: ErrorKind.NOT_FOUND,
+    405: ErrorKind.METHOD_NOT_ALLOWED,
+}
+
+
+class HostBody(msgspec.Struct, frozen=True):
+    """An entry host as callers see it."""
+
+    name: str
+    address: str
+    port: int
+    failure_domain: str
+
+
+class LookupBody(msgspec.Struct, frozen=True):
+    """The answer to a look-up; the preferred host comes first."""
+
+    hosts: tuple[HostBody, ...]
+    ttl_s: int
+    version: int
+    degraded: bool
+
+
+class HealthBody(msgspec.Struct, frozen=True):
+    """The state of the program."""
+
+    status: str
+    version: int
+    agent: str
+    blocks: str
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """An error answer; ``error`` is an :class:`ErrorKind`."""
+
+    error: str
+    detail: str
+
+
+class SteerHandler(web.RequestHandler):
+    """Base of the handlers: JSON answers and errors of known kinds."""
+
+    def initialize(self, state: SteerState, metrics: Metrics) -> None:
+        """Keep the shared state."""
+        self.state = state
+        self.metrics = metrics
+
+    def set_default_headers(self) -> None:
+        """Answer JSON; do not name the library and its version."""
+        self.set_header('Content-Type', JSON)
+        self.clear_header('Server')
+
+    def compute_etag(self) -> None:
+        """Send no Etag: answers are not cached by HTTP rules."""
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer errors that tornado found, without a traceback."""
+        kind = KIND_OF_STATUS.get(status_code, ErrorKind.INTERNAL)
+        self.refuse(Failure(kind, self._reason))
+
+    def refuse(self, failure: Failure) -> None:
+        """Answer a failure and count it."""
+        self.metrics.count(f'refused.{failure.kind.value}')
+        answer = failure.answer
+        self.set_status(answer.status)
+        if answer.retry_after_s is not None:
+            self.set_header('Retry-After', answer.retry_after_s)
+        self.reply(ErrorBody(failure.kind.value, failure.detail))
+
+    def reply(self, body: msgspec.Struct) -> None:
+        """Send a body; a program that leaves asks callers to disconnect."""
+        if self.state.leaving:
+            self.set_header('Connection', 'close')
+        self.finish(ENCODER.encode(body))
+
+
+class UnknownPathHandler(SteerHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse every method."""
+        self.refuse(Failure(ErrorKind.NOT_FOUND, self.request.path))
+
+
+class LookupHandler(SteerHandler):
+    """``GET /v1/lookup?service=NAME[&client=IP]``."""
+
+    def get(self) -> None:
+        """Answer the entry hosts for a caller."""
+        chosen = self.decide()
+        if isinstance(chosen, Err):
+            self.refuse(chosen.err_value)
+            return
+        answer = chosen.ok_value
+        hosts = tuple(
+            HostBody(row.name, row.address, row.entry_port, row.failure_domain)
+            for row in answer.hosts
+        )
+        version = self.state.version
+        self.reply(LookupBody(hosts, TTL_S, version, answer.degraded))
+
+    def decide(self) -> Result[LookupAnswer, Failure]:
+        """Read the arguments, choose the hosts and log the decision."""
+        service = self.argument('service')
+        if isinstance(service, Err):
+            return service
+        client = self.argument('client', self.request.remote_ip)
+        if isinstance(client, Err):
+            return client
+        decided = self.choose(service.ok_value, client.ok_value)
+        self.log(service.ok_value, client.ok_value, decided)
+        return decided
+
+    def choose(
+        self,
+        service: str,
+        client: str,
+    ) -> Result[LookupAnswer, Failure]:
+        """Choose the entry hosts for a caller."""
+        directory = self.state.directory
+        if directory is None:
+            return Err(Failure(ErrorKind.NOT_READY, 'no state from the agent'))
+        try:
+            site = self.state.blocks.site_of(client)
+        except (OSError, ValueError):
+            detail = f'client is no IP address: {client[:64]!r}'
+            return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+        return directory.answer(service, client, site)
+
+    def argument(
+        self,
+        name: str,
+        default: str | None = None,
+    ) -> Result[str, Failure]:
+        """Return an argument that is given at most once."""
+        given = self.request.query_arguments.get(name, ())
+        if len(given) > 1:
+            detail = f'{name} is given {len(given)} times'
+            return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+        if not given:
+            if default is None:
+                return Err(Failure(ErrorKind.BAD_REQUEST, f'{name} is missing'))
+            return Ok(default)
+        try:
+            return Ok(given[0].decode())
+        except UnicodeDecodeError:
+            return Err(Failure(ErrorKind.BAD_REQUEST, f'{name} is not UTF-8'))
+
+    def log(
+        self,
+        service: str,
+        client: str,
+        decided: Result[LookupAnswer, Failure],
+    ) -> None:
+        """Write the line of the decision, with its reasons."""
+        if isinstance(decided, Err):
+            log_event(
+                events.CATALOGUE.LOOKUP_ANSWERED,
+                service=repr(service[:64]),
+                client=repr(client[:64]),
+                error=decided.err_value.kind.value,
+            )
+            return
+        answer = decided.ok_value
+        log_event(
+            events.CATALOGUE.LOOKUP_ANSWERED,
+            service=service,
+            client=client,
+            site=answer.site,
+            domain=answer.domain,
+            tier=answer.tier,
+            host=answer.hosts[0].name,
+            hosts=len(answer.hosts),
+            degraded=answer.degraded,
+            version=self.state.version,
+        )
+
+
+class HealthHandler(SteerHandler):
+    """``GET /v1/health``."""
+
+    def get(self) -> None:
+        """Answer 200 when look-ups are to be sent here."""
+        if self.state.leaving:
+            self.refuse(Failure(ErrorKind.SHUTTING_DOWN, 'leaving'))
+            return
+        if self.state.directory is None:
+            self.refuse(Failure(ErrorKind.NOT_READY, 'no state from the agent'))
+            return
+        agent = 'lost' if self.state.agent_lost else 'ok'
+        blocks = self.state.blocks_digest
+        self.reply(HealthBody('ready', self.state.version, agent, blocks))
+
+
+def make_application(state: SteerState, metrics: Metrics) -> web.Application:
+    """Return the tornado application."""
+    shared = {'state': state, 'metrics': metrics}
+    return web.Application(
+        [
+            ('/v1/lookup', LookupHandler, shared),
+            ('/v1/health', HealthHandler, shared),
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=shared,
+        log_function=lambda handler: None,
+    )
--- a/egretmill/wire/messages.py
+++ b/egretmill/wire/messages.py
@@ -11,6 +11,7 @@
 
 __all__ = (
     'Acknowledged',
+    'BlocksBody',
     'Borrow',
     'Claim',
     'ClaimDecision',
@@ -18,6 +19,7 @@
     'ErrorReply',
     'Explain',
     'Explained',
+    'FetchBlocks',
     'FetchDocument',
     'Heartbeat',
     'HostRecord',
@@ -221,6 +223,31 @@
     body: bytes
 
 
+class FetchBlocks(Message):
+    """Steer asks for the client blocks of a digest, part by part.
+
+    ``base`` is the digest of the table that the asker has; the answer may
+    be a delta from it.
+    """
+
+    digest: str
+    base: str = ''
+    offset: int = 0
+
+
+class BlocksBody(Message):
+    """Bytes of a blocks file or a delta from an offset on.
+
+    A part is small enough for one frame; ``size`` is that of all parts.
+    """
+
+    digest: str
+    kind: Literal['table', 'delta']
+    offset: int
+    size: int
+    part: bytes
+
+
 class Borrow(Message):
     """An entry asks a peer for a part of its share of one total.
 
@@ -279,6 +306,7 @@
     | RecordAnswer
     | Heartbeat
     | FetchDocument
+    | FetchBlocks
     | Borrow
     | Explain
 )
@@ -289,6 +317,7 @@
     | ErrorReply
     | Heartbeat
     | DocumentBody
+    | BlocksBody
     | Loans
     | Explained
 )
