--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 
 import msgspec
 import tomli_w
@@ -70,17 +71,22 @@
         net: int,
         log_level: str = 'WARNING',
         drain_s: float = 6.0,
+        domains: Sequence[tuple[str, str, int]] = DOMAINS,
+        services: Sequence[ServiceSize] = SERVICES,
     ) -> None:
         """Lay out the fleet.
 
         :param folder: holds settings and logs.
         :param net: second octet of all addresses, so that fleets of
             several runs on one machine do not meet.
+        :param domains: failure domain, region and number of hosts.
         """
         self.folder = folder
         self.prefix = f'127.{net}'
         self.log_level = log_level
         self.drain_s = drain_s
+        self.domains = domains
+        self.services = services
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.killed: set[str] = set()
         self.hosts = tuple(self.lay_out_hosts())
@@ -95,7 +101,7 @@
         """Yield the host records of the fleet."""
         number = 0
         ports = PortSettings()
-        for domain, _region, count in DOMAINS:
+        for domain, _region, count in self.domains:
             for index in range(count):
                 number += 1
                 yield HostRecord(
@@ -110,10 +116,10 @@
 
     def lay_out_upstreams(self):
         """Yield the upstream records, spread over the sites in turn."""
-        for row, service in enumerate(SERVICES):
+        for row, service in enumerate(self.services):
             first_port = FIRST_UPSTREAM_PORT + row * PORTS_PER_SERVICE
             for index in range(service.workers):
-                domain = DOMAINS[index % len(DOMAINS)][0]
+                domain = self.domains[index % len(self.domains)][0]
                 yield UpstreamRecord(
                     name=f'{service.name}-{index}',
                     service=service.name,
@@ -138,7 +144,7 @@
             '--port',
             str(PLATFORM_PORT),
         )
-        for row, service in enumerate(SERVICES):
+        for row, service in enumerate(self.services):
             self.spawn(
                 f'upstream-{service.name}',
                 'standins.upstream',
