Harden the platform adapter and its stand-in

Cause: the adapter took 404 and 409 of any call for an answer, so a write to a wrong base URL counted as done; it did not encode keys in paths, so the row of a caller's key could not be read back; it trusted the digest of objects and the size of rows.

Change: every call names the statuses it expects, paths are quoted, redirects are not followed, rows and objects are bounded and objects are compared with their digest. A client may bind a source address, which the stand-in's cut-off switch goes by. The stand-in answers malformed requests with 400, and has switches for a stale host list and malformed answers.

Ruled out: a hash of the idempotency key as row key, because operators could no longer find the row of a key that a caller names.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,29 +8,46 @@
 import asyncio
 import signal
 
+from typing import Annotated, TypeVar
+
 import msgspec
 from tornado import web
+from tornado.httpserver import HTTPServer
 
 from egretmill.document.environment import body_digest
 from egretmill.store.ports import Hosts, Put, Row
 
 __all__ = ('Faults', 'Platform', 'make_application', 'main')
 
+HTTP_BAD_REQUEST = 400
 HTTP_CONFLICT = 409
+HTTP_TOO_LARGE = 413
+MAX_BODY_BYTES = 33554432
+MAX_ROW_BYTES = 262144
+MAX_KEY_CHARS = 2048
+
+BodyT = TypeVar('BodyT')
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
-class Faults(msgspec.Struct):
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """Fault switches of the platform.
 
-    ``down``: connections are closed without an answer. ``delay_s``: added
-    to every answer. ``lose_answers``: that many writes take effect and get
-    no answer. ``refused``: addresses of callers that are cut off.
+    ``down``: connections are closed without an answer. ``delay_s``: passes
+    before a call takes effect. ``lose_answers``: that many writes take
+    effect and get no answer. ``refused``: addresses of callers that are
+    cut off. ``stale_hosts``: the host list is answered as it was when the
+    switch was set. ``malformed_answers``: that many calls take effect and
+    get an answer that is no JSON.
     """
 
     down: bool = False
-    delay_s: float = 0.0
-    lose_answers: int = 0
+    delay_s: Seconds = 0.0
+    lose_answers: Count = 0
     refused: tuple[str, ...] = ()
+    stale_hosts: bool = False
+    malformed_answers: Count = 0
 
 
 class Transaction(msgspec.Struct):
@@ -38,6 +55,17 @@
 
     puts: list[Put]
 
+    def problem(self) -> str:
+        """Return why the transaction is malformed, empty when it is not."""
+        keys = [put.key for put in self.puts]
+        if not keys or len(keys) != len(set(keys)):
+            return 'no keys or a key twice'
+        if not all(valid_key(key) for key in keys):
+            return 'a key is empty, too long or contains blanks'
+        if any(put.expected_version < 0 for put in self.puts):
+            return 'an expected version is negative'
+        return ''
+
 
 class Platform:
     """State of the platform, in memory."""
@@ -47,10 +75,22 @@
         self.rows: dict[str, Row] = {}
         self.objects: dict[str, bytes] = {}
         self.host_list = Hosts()
+        self.stale_list = Hosts()
         self.faults = Faults()
         self.reads = 0
         self.writes = 0
 
+    def switch(self, faults: Faults) -> None:
+        """Set the fault switches."""
+        if faults.stale_hosts and not self.faults.stale_hosts:
+            self.stale_list = self.host_list
+        self.faults = faults
+
+    def listed(self) -> Hosts:
+        """Return the host list as it is answered."""
+        stale = self.faults.stale_hosts
+        return self.stale_list if stale else self.host_list
+
     def apply(self, puts: list[Put]) -> list[str]:
         """Apply all writes or none; return the keys that conflict."""
         conflicts = [
@@ -95,13 +135,34 @@
         self._finished = True
         self.detach().close()
 
-    def finish_write(self, body: bytes) -> None:
+    def decode(self, kind: type[BodyT]) -> BodyT | None:
+        """Decode the request body, or answer 400 and return ``None``."""
+        try:
+            return msgspec.json.decode(self.request.body, type=kind)
+        except (msgspec.DecodeError, RecursionError) as error:
+            self.refuse(HTTP_BAD_REQUEST, str(error))
+        return None
+
+    def refuse(self, code: int, reason: str) -> None:
+        """Answer a malformed request."""
+        self.set_status(code)
+        self.finish({'error': reason})
+
+    def answer(self, body: bytes) -> None:
+        """Answer a read, or something that is no JSON."""
+        if self.platform.faults.malformed_answers:
+            self.platform.faults.malformed_answers -= 1
+            self.finish(b'{"version": 1, "bo')
+            return
+        self.finish(body)
+
+    def answer_write(self, body: bytes) -> None:
         """Answer a write, or lose the answer after it took effect."""
         if self.platform.faults.lose_answers:
             self.platform.faults.lose_answers -= 1
             self.drop()
             return
-        self.finish(body)
+        self.answer(body)
 
     def detach(self):
         """Return the stream of the connection."""
@@ -117,7 +178,7 @@
         if row is None:
             self.send_error(404)
             return
-        self.finish(msgspec.json.encode(row))
+        self.answer(msgspec.json.encode(row))
 
 
 class TransactionHandler(PlatformHandler):
@@ -125,11 +186,20 @@
 
     def post(self) -> None:
         """Apply conditional writes; 409 lists the keys in conflict."""
-        puts = msgspec.json.decode(self.request.body, type=Transaction).puts
-        conflicts = self.platform.apply(puts)
+        transaction = self.decode(Transaction)
+        if transaction is None:
+            return
+        problem = transaction.problem()
+        if problem:
+            self.refuse(HTTP_BAD_REQUEST, problem)
+            return
+        if any(len(put.body) > MAX_ROW_BYTES for put in transaction.puts):
+            self.refuse(HTTP_TOO_LARGE, 'a row is too large')
+            return
+        conflicts = self.platform.apply(transaction.puts)
         if conflicts:
             self.set_status(HTTP_CONFLICT)
-        self.finish_write(msgspec.json.encode(conflicts))
+        self.answer_write(msgspec.json.encode(conflicts))
 
 
 class ObjectHandler(PlatformHandler):
@@ -141,15 +211,15 @@
         if found is None:
             self.send_error(404)
             return
-        self.finish(found)
+        self.answer(found)
 
     def put(self, digest: str) -> None:
         """Store an object whose digest is right."""
         if body_digest(self.request.body) != digest:
-            self.send_error(400)
+            self.refuse(HTTP_BAD_REQUEST, 'the body has another digest')
             return
         self.platform.objects[digest] = self.request.body
-        self.finish_write(b'{}')
+        self.answer_write(b'{}')
 
 
 class HostsHandler(PlatformHandler):
@@ -157,40 +227,46 @@
 
     def get(self) -> None:
         """Answer the host list."""
-        self.finish(msgspec.json.encode(self.platform.host_list))
+        self.answer(msgspec.json.encode(self.platform.listed()))
 
     def post(self) -> None:
         """Replace the host list."""
-        self.platform.host_list = msgspec.json.decode(
-            self.request.body,
-            type=Hosts,
-        )
-        self.finish(b'{}')
+        hosts = self.decode(Hosts)
+        if hosts is not None:
+            self.platform.host_list = hosts
+            self.finish(b'{}')
 
 
-class FaultsHandler(web.RequestHandler):
-    """``POST /faults`` sets the switches, ``GET`` returns counters."""
+class FaultsHandler(PlatformHandler):
+    """``POST /faults`` sets the switches, ``GET`` returns counters.
 
-    def initialize(self, platform: Platform) -> None:
-        """Keep the shared state."""
-        self.platform = platform
+    Faults do not apply to these calls.
+    """
+
+    def prepare(self) -> None:
+        """Apply no fault and count nothing."""
 
     def get(self) -> None:
-        """Answer the number of reads and writes so far."""
+        """Answer the number of reads, writes and rows so far."""
         self.finish(
             {
                 'reads': self.platform.reads,
                 'writes': self.platform.writes,
+                'rows': len(self.platform.rows),
             }
         )
 
     def post(self) -> None:
         """Replace the fault switches."""
-        self.platform.faults = msgspec.json.decode(
-            self.request.body,
-            type=Faults,
-        )
-        self.finish(b'{}')
+        faults = self.decode(Faults)
+        if faults is not None:
+            self.platform.switch(faults)
+            self.finish(b'{}')
+
+
+def valid_key(key: str) -> bool:
+    """Tell whether a key may name a row."""
+    return 0 < len(key) <= MAX_KEY_CHARS and key.split() == [key]
 
 
 def make_application(platform: Platform) -> web.Application:
@@ -210,7 +286,11 @@
 
 async def serve(address: str, port: int) -> None:
     """Serve until SIGTERM."""
-    server = make_application(Platform()).listen(port, address)
+    server = HTTPServer(
+        make_application(Platform()),
+        max_body_size=MAX_BODY_BYTES,
+    )
+    server.listen(port, address)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
--- /dev/null
+++ b/tests/store/test_http.py
@@ -0,0 +1,252 @@
+"""The HTTP adapter against a platform that misbehaves."""
+
+import asyncio
+import contextlib
+
+import pytest
+from result import Err, Ok
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from egretmill.errors import ErrorKind
+from egretmill.ledger import row_key
+from egretmill.store import Hosts, Put, Row, StoreClient
+from egretmill.store.http import MAX_OBJECT_BYTES, MAX_ROW_BYTES
+from egretmill.wire.messages import HostRecord
+from standins.platform import Faults, Platform, make_application
+
+ADDRESS = '127.0.0.1'
+TIMEOUT_S = 0.3
+
+
+@pytest.fixture
+def platform():
+    """Return the state of a stand-in."""
+    return Platform()
+
+
+@pytest.fixture
+async def url(platform):
+    """Serve the stand-in on a free port."""
+    listener, port = bind_unused_port(address=ADDRESS)
+    server = HTTPServer(make_application(platform))
+    server.add_socket(listener)
+    yield f'http://{ADDRESS}:{port}'
+    server.stop()
+
+
+@pytest.fixture
+async def store(url):
+    """Return a client of the stand-in."""
+    return StoreClient(url, TIMEOUT_S)
+
+
+def kind_of(answer):
+    """Return the kind of a failure."""
+    assert isinstance(answer, Err), answer
+    return answer.err_value.kind
+
+
+@contextlib.asynccontextmanager
+async def answering(reply):
+    """Serve one fixed reply to every connection."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(reply)
+        if reply:
+            writer.close()
+
+    server = await asyncio.start_server(serve, ADDRESS, 0)
+    port = server.sockets[0].getsockname()[1]
+    yield StoreClient(f'http://{ADDRESS}:{port}', TIMEOUT_S)
+    server.close()
+
+
+async def all_calls(store):
+    """Make every call of the client and return the answers."""
+    return await asyncio.gather(
+        store.get_row('config/current'),
+        store.put_row('config/current', 0, 'x'),
+        store.put_rows([Put('a', 0, 'x'), Put('b', 0, 'x')]),
+        store.get_object('xxh3:0'),
+        store.put_object(b'x'),
+        store.hosts(),
+    )
+
+
+async def test_rows_are_written_by_compare_and_set(store):
+    """Guards against an update that overwrites another one."""
+    assert await store.get_row('a') == Ok(None)
+    assert await store.put_row('a', 0, 'first') == Ok(Row(1, 'first'))
+    refused = await store.put_row('a', 0, 'second')
+    assert kind_of(refused) is ErrorKind.VERSION_CONFLICT
+    refused = await store.put_rows([Put('b', 0, 'x'), Put('a', 7, 'x')])
+    assert refused.err_value.detail == 'a'
+    assert await store.get_row('b') == Ok(None)
+
+
+@pytest.mark.parametrize(
+    'key',
+    ['../../faults', '.', '..', 'a/b', 'a%2Fb', '%', '?x=1', '#', ';='],
+)
+async def test_keys_of_callers_stay_apart(store, key):
+    """Guards against a caller's key that reaches another row or path."""
+    path = row_key('rota', key).ok_value
+    assert await store.put_row(path, 0, key) == Ok(Row(1, key))
+    assert await store.get_row(path) == Ok(Row(1, key))
+    assert await store.get_row('claims/rota/other') == Ok(None)
+
+
+REPLIES = (
+    b'',
+    b'nonsense\r\n\r\n',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]',
+    b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"version": 1',
+    b'HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n{}',
+    b'HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n',
+    b'HTTP/1.1 302 no\r\nLocation: /\r\nContent-Length: 0\r\n\r\n',
+    b'HTTP/1.1 409 no\r\nContent-Length: 2\r\n\r\n{}',
+)
+
+
+@pytest.mark.parametrize('reply', REPLIES)
+async def test_malformed_answers_count_as_an_outage(reply):
+    """Guards against an exception, or a success, made of nonsense."""
+    async with answering(reply) as store:
+        answers = await all_calls(store)
+    kinds = {kind_of(answer) for answer in answers if isinstance(answer, Err)}
+    assert kinds == {ErrorKind.PLATFORM_UNAVAILABLE}
+    if b'200 OK' not in reply:
+        assert all(isinstance(answer, Err) for answer in answers)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'{"version":0,"body":""}', b'{"version":1}', b'[' * 9999, b'"\xff"'],
+)
+async def test_malformed_rows_count_as_an_outage(body):
+    """Guards against a damaged row taken for a row."""
+    head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+    async with answering(head.encode() + body) as store:
+        answer = await store.get_row('a')
+    assert kind_of(answer) is ErrorKind.PLATFORM_UNAVAILABLE
+
+
+async def test_missing_path_is_no_successful_write():
+    """Guards against 404 from a wrong base URL taken for a written row."""
+    reply = b'HTTP/1.1 404 no\r\nContent-Length: 0\r\n\r\n'
+    async with answering(reply) as store:
+        written = await store.put_row('a', 0, 'x')
+        stored = await store.put_object(b'x')
+    assert kind_of(written) is ErrorKind.PLATFORM_UNAVAILABLE
+    assert kind_of(stored) is ErrorKind.PLATFORM_UNAVAILABLE
+
+
+async def test_refused_connection_is_an_outage():
+    """Guards against an exception when nothing listens."""
+    listener, port = bind_unused_port(address=ADDRESS)
+    listener.close()
+    store = StoreClient(f'http://{ADDRESS}:{port}', TIMEOUT_S)
+    kinds = {kind_of(answer) for answer in await all_calls(store)}
+    assert kinds == {ErrorKind.PLATFORM_UNAVAILABLE}
+
+
+async def test_slow_answers_end_at_the_deadline(store, platform):
+    """Guards against calls that wait as long as the platform is slow."""
+    platform.faults = Faults(delay_s=2)
+    async with asyncio.timeout(TIMEOUT_S * 3):
+        kinds = {kind_of(answer) for answer in await all_calls(store)}
+    assert kinds == {ErrorKind.PLATFORM_UNAVAILABLE}
+
+
+async def test_oversized_rows_and_objects_are_not_sent(store, platform):
+    """Guards against writes that the platform refuses for ever."""
+    large = 'x' * (MAX_ROW_BYTES + 1)
+    row = await store.put_row('a', 0, large)
+    many = [Put(f'k{number}', 0, large[1:]) for number in range(9)]
+    rows = await store.put_rows(many)
+    stored = await store.put_object(bytes(MAX_OBJECT_BYTES + 1))
+    kinds = {kind_of(answer) for answer in (row, rows, stored)}
+    assert kinds == {ErrorKind.BODY_TOO_LARGE}
+    assert not platform.writes
+
+
+async def test_damaged_object_is_refused(store, platform):
+    """Guards against an object that changed after it was named."""
+    digest = (await store.put_object(b'right')).ok_value
+    assert await store.get_object(digest) == Ok(b'right')
+    platform.objects[digest] = b'wrong'
+    damaged = await store.get_object(digest)
+    assert kind_of(damaged) is ErrorKind.PLATFORM_UNAVAILABLE
+    missing = await store.get_object('xxh3:0')
+    assert kind_of(missing) is ErrorKind.NOT_FOUND
+
+
+async def test_lost_answer_leaves_the_write(store, platform):
+    """Guards against a switch that loses the write with its answer."""
+    platform.faults = Faults(lose_answers=1)
+    lost = await store.put_row('a', 0, 'x')
+    assert kind_of(lost) is ErrorKind.PLATFORM_UNAVAILABLE
+    assert await store.get_row('a') == Ok(Row(1, 'x'))
+
+
+async def test_malformed_answer_switch(store, platform):
+    """Guards against a switch that does nothing."""
+    platform.faults = Faults(malformed_answers=1)
+    assert kind_of(await store.hosts()) is ErrorKind.PLATFORM_UNAVAILABLE
+    assert await store.hosts() == Ok(Hosts())
+
+
+async def test_stale_host_list(store, platform):
+    """Guards against a host list that never lags in tests."""
+    record = HostRecord('a', 'd', ADDRESS, 1, 2, 3, 4)
+    platform.switch(Faults(stale_hosts=True))
+    platform.host_list = Hosts((record,))
+    assert await store.hosts() == Ok(Hosts())
+    platform.switch(Faults())
+    assert await store.hosts() == Ok(Hosts((record,)))
+
+
+async def test_cut_off_address_has_no_platform(url, platform):
+    """Guards against a cut that hits the wrong host."""
+    cut = StoreClient(url, TIMEOUT_S, '127.0.0.2')
+    other = StoreClient(url, TIMEOUT_S, '127.0.0.3')
+    platform.faults = Faults(refused=('127.0.0.2',))
+    assert kind_of(await cut.get_row('a')) is ErrorKind.PLATFORM_UNAVAILABLE
+    assert await other.get_row('a') == Ok(None)
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body'),
+    [
+        ('POST', '/transactions', b'{'),
+        ('POST', '/transactions', b'[' * 9999),
+        ('POST', '/transactions', b'{"puts": []}'),
+        (
+            'POST',
+            '/transactions',
+            b'{"puts": [{"key": "a b", "expected_version": 0, "body": ""}]}',
+        ),
+        (
+            'POST',
+            '/transactions',
+            b'{"puts": [{"key": "a", "expected_version": -1, "body": ""}]}',
+        ),
+        ('POST', '/faults', b'{"dwon": true}'),
+        ('POST', '/faults', b'{"delay_s": -1}'),
+        ('POST', '/hosts', b'{"entry_hosts": 1}'),
+        ('PUT', '/objects/xxh3:0', b'x'),
+    ],
+)
+async def test_malformed_requests_are_refused(url, method, path, body):
+    """Guards against a stand-in that hides faults of its callers."""
+    client = AsyncHTTPClient(force_instance=True)
+    answer = await client.fetch(
+        url + path,
+        method=method,
+        body=body,
+        raise_error=False,
+    )
+    assert answer.code == 400
