--- a/egretmill/cli/application.py
+++ b/egretmill/cli/application.py
@@ -8,8 +8,12 @@
 from egretmill import __version__
 from egretmill.cli.base import EXIT_INVALID, OperatorCommand
 from egretmill.cli.check import CheckCommand
+from egretmill.cli.diff import DiffCommand
+from egretmill.cli.drain import DrainCommand
+from egretmill.cli.explain import ExplainCommand
 from egretmill.cli.key import KeyDigestCommand, KeyNewCommand
 from egretmill.cli.promote import PromoteCommand
+from egretmill.cli.retire import RetireCommand
 from egretmill.cli.status import StatusCommand
 
 __all__ = ('COMMANDS', 'build_application', 'main')
@@ -17,10 +21,14 @@
 #: All commands, in the order in which they are documented.
 COMMANDS: tuple[type[OperatorCommand], ...] = (
     CheckCommand,
+    DiffCommand,
     PromoteCommand,
     StatusCommand,
+    ExplainCommand,
     KeyNewCommand,
     KeyDigestCommand,
+    DrainCommand,
+    RetireCommand,
 )
 
 
--- a/egretmill/cli/client.py
+++ b/egretmill/cli/client.py
@@ -8,9 +8,14 @@
 
 import msgspec
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPResponse
+from tornado.httpclient import (
+    AsyncHTTPClient,
+    HTTPClientError,
+    HTTPRequest,
+    HTTPResponse,
+)
 
-from egretmill.errors import ErrorKind, Failure
+from egretmill.errors import ErrorKind, Failure, Outcome
 from egretmill.settings import Problem
 
 __all__ = ('TOKEN_VARIABLE', 'AgentClient')
@@ -45,12 +50,17 @@
 
 
 class AgentClient:
-    """Calls the first agent of a list that can answer."""
+    """Calls the first agent of a list that can answer.
+
+    ``unsettled`` tells whether an agent of the last call may have carried
+    it out without an answer that says so.
+    """
 
     def __init__(self, urls: tuple[str, ...], token: str) -> None:
         """Keep the base URLs and the operators' token, which may be empty."""
         self.urls = urls
         self.token = token
+        self.unsettled = False
 
     @classmethod
     def from_urls(
@@ -109,9 +119,12 @@
         promotion.
         """
         failures: list[Failure] = []
+        self.unsettled = False
+        client = AsyncHTTPClient(force_instance=True)
         for url in self.urls:
             # In order: a later agent is asked only when an earlier failed.
-            answer = await self.fetch(method, url + path, body)  # noqa: WPS476
+            request = self.request(method, url + path, body)
+            answer = await self.fetch(client, request)  # noqa: WPS476
             match answer:
                 case Err(failure) if failure.kind in TRY_NEXT:
                     failures.append(failure)
@@ -119,31 +132,49 @@
                     return answer
         return Err(combined(failures))
 
-    async def fetch(
+    def request(
         self,
         method: str,
         url: str,
         body: bytes | None,
-    ) -> Result[HTTPResponse, Failure]:
-        """Call one agent."""
+    ) -> HTTPRequest:
+        """Return a request with the operators' token and deadlines."""
         headers = {}
         if self.token:
             headers['Authorization'] = f'Bearer {self.token}'
+        return HTTPRequest(
+            url,
+            method,
+            headers,
+            body,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=REQUEST_TIMEOUT_S,
+        )
+
+    async def fetch(
+        self,
+        client: AsyncHTTPClient,
+        request: HTTPRequest,
+    ) -> Result[HTTPResponse, Failure]:
+        """Call one agent."""
         try:
-            response = await AsyncHTTPClient().fetch(
-                url,
-                method=method,
-                body=body,
-                headers=headers,
-                connect_timeout=CONNECT_TIMEOUT_S,
-                request_timeout=REQUEST_TIMEOUT_S,
-                raise_error=False,
-            )
+            response = await client.fetch(request, raise_error=False)
+        except ConnectionRefusedError as refused:
+            return Err(unreachable(request, refused))
         except (HTTPClientError, OSError) as error:
-            return Err(Failure(ErrorKind.PEER_UNREACHABLE, f'{url}: {error}'))
+            self.unsettled = True
+            return Err(unreachable(request, error))
         if response.code == HTTP_OK:
             return Ok(response)
-        return Err(failure_of(url, response))
+        failure = failure_of(request.url, response)
+        self.unsettled |= failure.answer.outcome is Outcome.UNKNOWN
+        return Err(failure)
+
+
+def unreachable(request: HTTPRequest, error: Exception) -> Failure:
+    """Return the failure of a call without an answer."""
+    address, _, _ = request.url.partition('?')
+    return Failure(ErrorKind.PEER_UNREACHABLE, f'{address}: {error}')
 
 
 def combined(failures: list[Failure]) -> Failure:
@@ -160,12 +191,10 @@
     try:
         body = msgspec.json.decode(response.body, type=ErrorBody)
     except msgspec.DecodeError:
-        detail = f'{url}: {response.code} {response.reason}'
-        return Failure(ErrorKind.PEER_UNREACHABLE, detail)
-    if body.error not in list(ErrorKind):
-        detail = f'{url}: {body.error}: {body.detail}'
-        return Failure(ErrorKind.INTERNAL, detail)
-    return Failure(ErrorKind(body.error), body.detail)
+        body = ErrorBody('', f'{response.code} {response.reason}')
+    if body.error in list(ErrorKind):
+        return Failure(ErrorKind(body.error), body.detail)
+    return Failure(ErrorKind.INTERNAL, f'{url}: {body.error} {body.detail}')
 
 
 def decode(
--- /dev/null
+++ b/egretmill/cli/explain.py
@@ -0,0 +1,55 @@
+"""``egretmill explain``: how a request would be decided."""
+
+import msgspec
+from cleo.helpers import argument, option
+from result import Err
+
+from egretmill.cli.base import AGENT_OPTION, EXIT_OK, OperatorCommand
+
+__all__ = ('ExplainCommand',)
+
+
+class ExplanationBody(msgspec.Struct, frozen=True):
+    """Answer to ``POST /v1/explain``."""
+
+    lines: tuple[str, ...]
+
+
+class ExplainCommand(OperatorCommand):
+    """Asks a host how it would decide a request; nothing is sent."""
+
+    name = 'explain'
+    description = 'Show step by step how a request would be decided.'
+    example = (
+        'egretmill explain GET /rota/7 --key-digest sha256:4c7f... '
+        '--agent http://10.0.0.1:8092'
+    )
+    arguments = [
+        argument('method', 'Method of the request.'),
+        argument('path', 'Path of the request.'),
+    ]
+    options = [
+        AGENT_OPTION,
+        option('key-digest', description='Digest of the key.', flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Ask and print one line for each step."""
+        client = self.client()
+        if isinstance(client, Err):
+            return self.invalid(client.err_value)
+        question = {
+            'method': self.argument('method'),
+            'path': self.argument('path'),
+            'key_digest': self.option('key-digest') or '',
+        }
+        answer = client.ok_value.post_json(
+            '/v1/explain',
+            question,
+            ExplanationBody,
+        )
+        if isinstance(answer, Err):
+            return self.refused(answer.err_value)
+        for line in answer.ok_value.lines:
+            self.emit(line)
+        return EXIT_OK
--- a/egretmill/cli/promote.py
+++ b/egretmill/cli/promote.py
@@ -8,7 +8,11 @@
 from cleo.helpers import argument, option
 from result import Err, Ok, Result
 
-from egretmill.agent.operations import HostStatus, StatusReport
+from egretmill.agent.operations import (
+    OPERATOR_PATTERN,
+    HostStatus,
+    StatusReport,
+)
 from egretmill.cli.base import (
     AGENT_OPTION,
     EXIT_OK,
@@ -19,7 +23,7 @@
 from egretmill.cli.client import AgentClient, decode
 from egretmill.document import Environment
 from egretmill.document.promotion import Promoted
-from egretmill.errors import ErrorKind, Failure
+from egretmill.errors import Failure
 from egretmill.settings import Problem
 
 __all__ = ('PromoteCommand', 'lagging')
@@ -61,11 +65,17 @@
         ),
     ]
 
+    @property
+    def operator(self) -> str:
+        """Return the name to record with the promotion."""
+        return self.option('operator') or login_name()
+
     def handle(self) -> int:
         """Check the file, promote it and wait if asked to."""
         replaces = self.option('replaces') or ''
         wait = self.option('wait') or '0'
         problems = number_problems(replaces, wait)
+        problems.extend(operator_problems(self.operator))
         client = self.client()
         body = read_file(self.argument('file'))
         for found in (client, body):
@@ -97,23 +107,24 @@
             {
                 'replaces': replaces,
                 'attempt': attempt,
-                'operator': self.option('operator') or getpass.getuser(),
+                'operator': self.operator,
             },
         )
         answer = client.post(f'/v1/promote?{query}', body)
         promoted = answer.and_then(lambda found: decode(found, Promoted))
-        match promoted:
-            case Ok(Promoted(version=version, digest=digest)):
-                self.emit(f'version {version} is in force, {digest}')
-                return self.await_hosts(client, version, wait_s)
-            case Err(Failure(kind=ErrorKind.PEER_UNREACHABLE) as failure):
-                status = self.refused(failure)
-                self.complain(
-                    'unknown: run promote again with '
-                    f'--attempt {attempt} --replaces {replaces}',
-                )
-                return status
-        return self.refused(promoted.unwrap_err())
+        if isinstance(promoted, Ok):
+            version = promoted.ok_value.version
+            self.emit(
+                f'promoted as version {version}, {promoted.ok_value.digest}',
+            )
+            return self.await_hosts(client, version, wait_s)
+        status = self.refused(promoted.unwrap_err())
+        if client.unsettled:
+            self.complain(
+                'unknown whether it took effect: run promote again with '
+                f'--attempt {attempt} --replaces {replaces}',
+            )
+        return status
 
     def await_hosts(
         self,
@@ -160,6 +171,22 @@
     ]
 
 
+def login_name() -> str:
+    """Return the login name, empty when the system knows none."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ''
+
+
+def operator_problems(operator: str) -> list[Problem]:
+    """Return what is wrong with the name of the operator."""
+    if OPERATOR_PATTERN.fullmatch(operator):
+        return []
+    rule = f'must match {OPERATOR_PATTERN.pattern}'
+    return [Problem('--operator', '$', operator or '(missing)', rule)]
+
+
 def number_problems(replaces: str, wait: str) -> list[Problem]:
     """Return what is wrong with the numbers among the options."""
     problems = []
--- a/egretmill/document/model.py
+++ b/egretmill/document/model.py
@@ -19,11 +19,15 @@
     'Site',
 )
 
-Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
-Digest = Annotated[str, msgspec.Meta(pattern='^sha256:[0-9a-f]{64}$')]
+Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}\Z')]
+Digest = Annotated[str, msgspec.Meta(pattern=r'^sha256:[0-9a-f]{64}\Z')]
 Rate = Annotated[float, msgspec.Meta(gt=0, le=1000000)]
 Tokens = Annotated[int, msgspec.Meta(ge=1, le=1000000)]
-Path = Annotated[str, msgspec.Meta(pattern='^/[^ ?#]*$')]
+# Names a body of the object store, see ``body_digest``.
+ObjectDigest = Annotated[str, msgspec.Meta(pattern=r'^xxh3:[0-9a-f]{32}\Z')]
+Label = Annotated[str, msgspec.Meta(max_length=64)]
+Path = Annotated[str, msgspec.Meta(pattern=r'^/[^\s\x00-\x1f\x7f?#]*\Z')]
+Method = Literal['GET', 'HEAD', 'POST', 'PUT', 'DELETE']
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -62,7 +66,7 @@
     """The digest of a granted API key, with a label for operators."""
 
     digest: Digest
-    label: str = ''
+    label: Label = ''
 
 
 class ClientAccount(Model):
@@ -91,7 +95,7 @@
 
     path: Path
     service: Name
-    methods: tuple[Literal['GET', 'HEAD', 'POST', 'PUT', 'DELETE'], ...]
+    methods: Annotated[tuple[Method, ...], msgspec.Meta(min_length=1)]
     access: Literal['open', 'keyed'] = 'keyed'
     idempotent: bool = False
     time_limit_ms: Annotated[int, msgspec.Meta(ge=10, le=3600000)] = 10000
@@ -144,4 +148,4 @@
     drains: tuple[Drain, ...] = ()
     shift: ShiftCap = ShiftCap()
     quota: QuotaTiming = QuotaTiming()
-    client_blocks: Digest | None = None
+    client_blocks: ObjectDigest | None = None
--- a/egretmill/document/rules.py
+++ b/egretmill/document/rules.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Iterable, Iterator
 
+from egretmill.accounts import digest_of
 from egretmill.document.model import Document
+from egretmill.settings.problems import Violation
 
 __all__ = ('RULES', 'Violation', 'violations')
 
-#: Path within the document, offending value and rule.
-Violation = tuple[str, str, str]
+RESERVED_SEGMENTS = frozenset(('', '.', '..'))
+EMPTY_KEY_DIGEST = digest_of('')
 
 
 def _duplicates(table: str, names: Iterable[str]) -> Iterator[Violation]:
@@ -56,6 +58,9 @@
             if site not in known:
                 path = f'$.services[{index}].sites[{position}]'
                 yield path, site, 'no such site'
+            elif site in row.sites[:position]:
+                path = f'$.services[{index}].sites[{position}]'
+                yield path, site, 'named twice'
 
 
 def routes_have_services(document: Document) -> Iterator[Violation]:
@@ -67,14 +72,27 @@
 
 
 def routes_are_distinct(document: Document) -> Iterator[Violation]:
-    """A path and method lead to one route."""
+    """A path and method lead to one route.
+
+    ``/rota`` and ``/rota/`` cover the same requests.
+    """
     seen: set[tuple[str, str]] = set()
     for index, row in enumerate(document.routes):
         for method in row.methods:
-            if (row.path, method) in seen:
+            covered = row.path.rstrip('/'), method
+            if covered in seen:
                 path = f'$.routes[{index}].path'
                 yield path, f'{method} {row.path}', 'routed twice'
-            seen.add((row.path, method))
+            seen.add(covered)
+
+
+def route_paths_are_plain(document: Document) -> Iterator[Violation]:
+    """Route paths have no segment that clients and proxies rewrite."""
+    for index, row in enumerate(document.routes):
+        segments = row.path.strip('/').split('/')
+        if row.path.strip('/') and RESERVED_SEGMENTS.intersection(segments):
+            rule = 'must not contain empty segments, "." or ".."'
+            yield f'$.routes[{index}].path', row.path, rule
 
 
 def links_join_regions(document: Document) -> Iterator[Violation]:
@@ -89,6 +107,17 @@
             yield f'$.links[{index}].regions', shown, 'no such region'
 
 
+def links_are_unique(document: Document) -> Iterator[Violation]:
+    """A pair of regions has one link, in whichever order it is named."""
+    seen: set[frozenset[str]] = set()
+    for index, row in enumerate(document.links):
+        pair = frozenset(row.regions)
+        if pair in seen:
+            shown = ', '.join(row.regions)
+            yield f'$.links[{index}].regions', shown, 'linked twice'
+        seen.add(pair)
+
+
 def digests_are_unique(document: Document) -> Iterator[Violation]:
     """A key belongs to one client account."""
     seen: set[str] = set()
@@ -100,6 +129,39 @@
             seen.add(key.digest)
 
 
+def digests_are_of_keys(document: Document) -> Iterator[Violation]:
+    """No digest is that of an empty text, a slip of ``key digest``."""
+    for index, account in enumerate(document.accounts):
+        for position, key in enumerate(account.keys):
+            if key.digest == EMPTY_KEY_DIGEST:
+                path = f'$.accounts[{index}].keys[{position}].digest'
+                yield path, key.digest, 'this is the digest of an empty key'
+
+
+def drains_are_known(document: Document) -> Iterator[Violation]:
+    """A drained site is declared, and nothing is drained twice.
+
+    Upstreams and entry hosts come from the host list and are not checked.
+    """
+    sites = {row.name for row in document.sites}
+    seen: set[tuple[str, str]] = set()
+    for index, row in enumerate(document.drains):
+        path = f'$.drains[{index}].name'
+        if row.kind == 'site' and row.name not in sites:
+            yield path, row.name, 'no such site'
+        if (row.kind, row.name) in seen:
+            yield path, f'{row.kind} {row.name}', 'drained twice'
+        seen.add((row.kind, row.name))
+
+
+def loans_end_before_leases(document: Document) -> Iterator[Violation]:
+    """A loan is shorter than the lease of the slot that it comes from."""
+    quota = document.quota
+    if quota.loan_s >= quota.lease_s:
+        rule = f'must be below quota.lease_s, {quota.lease_s}'
+        yield '$.quota.loan_s', str(quota.loan_s), rule
+
+
 def slots_exist(document: Document) -> Iterator[Violation]:
     """At least one share slot exists."""
     if sum(row.share_slots for row in document.failure_domains) < 1:
@@ -114,8 +176,13 @@
     services_have_sites,
     routes_have_services,
     routes_are_distinct,
+    route_paths_are_plain,
     links_join_regions,
+    links_are_unique,
     digests_are_unique,
+    digests_are_of_keys,
+    drains_are_known,
+    loans_end_before_leases,
     slots_exist,
 )
 
--- a/egretmill/settings/__init__.py
+++ b/egretmill/settings/__init__.py
@@ -8,7 +8,8 @@
     PortSettings,
     TimingSettings,
 )
-from egretmill.settings.toml import Problem, decode_toml, load_settings
+from egretmill.settings.problems import Problem
+from egretmill.settings.toml import decode_settings, decode_toml, load_settings
 
 __all__ = (
     'HostSettings',
@@ -18,6 +19,7 @@
     'PortSettings',
     'Problem',
     'TimingSettings',
+    'decode_settings',
     'decode_toml',
     'load_settings',
 )
--- a/egretmill/settings/model.py
+++ b/egretmill/settings/model.py
@@ -14,9 +14,9 @@
 )
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
-Name = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}\Z')]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
-TokenDigest = Annotated[str, msgspec.Meta(pattern='^sha256:[0-9a-f]{64}$')]
+TokenDigest = Annotated[str, msgspec.Meta(pattern=r'^sha256:[0-9a-f]{64}\Z')]
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -36,7 +36,7 @@
 class PlatformSettings(Model):
     """Where the platform's service answers, and the deadline per call."""
 
-    url: Annotated[str, msgspec.Meta(pattern='^https?://[^ ]+$')]
+    url: Annotated[str, msgspec.Meta(pattern=r'^https?://[^ ]+\Z')]
     timeout_s: Seconds = 0.5
 
 
--- a/tests/agent/test_operations.py
+++ b/tests/agent/test_operations.py
@@ -3,7 +3,6 @@
 import json
 
 import pytest
-from result import Err, Ok
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -11,66 +10,14 @@
 from egretmill.accounts import digest_of
 from egretmill.agent.operations import make_application
 from egretmill.document import Environment
-from egretmill.document.promotion import Promoter
-from egretmill.errors import ErrorKind, Failure
-from egretmill.wire.messages import Explained, HostRecord, PeerState
-from tests.document.fakes import Clock, FakeStore, sample
+from tests.agent.fakes import FakeAgent
+from tests.document.fakes import sample
 
 BODY = sample().encode()
 PROMOTE = '/v1/promote?replaces=0&attempt=attempt-1&operator=anna'
 TOKEN = 'token-of-the-operators'
 
 
-class FakeView:
-    """An agent with one peer."""
-
-    host = 'eh-1'
-
-    def __init__(self) -> None:
-        """Start without a document."""
-        clock = Clock()
-        self.environment = None
-        self.store = FakeStore(clock)
-        self.promoter = Promoter(self.store, 'eh-1', clock, sleep=clock.sleep)
-        self.records = [
-            record('eh-2', version=6, reachable=False, slot=None, age=None),
-            record('eh-1', version=7, reachable=True, slot=0, age=0.25),
-        ]
-
-    def peers(self):
-        """Return all hosts."""
-        return self.records
-
-    async def explain(self, question):
-        """Explain one route only."""
-        if question.path == '/crash':
-            raise ValueError('unexpected')
-        if question.path != '/rota':
-            return Err(Failure(ErrorKind.UNKNOWN_ROUTE, question.path))
-        return Ok(Explained((f'route {question.path}', 'site tb1')))
-
-    async def retire(self, host):
-        """Retire one host only."""
-        if host != 'eh-2':
-            return Err(Failure(ErrorKind.NOT_FOUND, f'{host} has no slot'))
-        return Ok(None)
-
-
-def record(name, *, version, reachable, slot, age):
-    """Return the state of a host."""
-    host = HostRecord(name, 'tbilisi-a', '10.0.0.1', 1, 2, 3, 4)
-    return PeerState(
-        host,
-        incarnation=3,
-        version=version,
-        reachable=reachable,
-        leaving=False,
-        entry_ready=reachable,
-        slot_index=slot,
-        confirmation_age_s=age,
-    )
-
-
 class Port:
     """A served operations port."""
 
@@ -97,7 +44,7 @@
 @pytest.fixture
 async def view():
     """Return an agent."""
-    return FakeView()
+    return FakeAgent()
 
 
 @pytest.fixture
@@ -126,28 +73,32 @@
 
 async def test_status_lists_hosts_by_name(port, view):
     """Guards against a status that leaves a host out."""
-    view.environment = Environment.from_bytes(BODY, version=7).unwrap()
+    await port.call('POST', PROMOTE, BODY)
+    view.unreachable.add('eh-2')
     status, body = await port.call('GET', '/v1/status')
     report = json.loads(body)
-    assert (status, report['version']) == (200, 7)
+    assert (status, report['version']) == (200, 1)
+    names = [host['name'] for host in report['hosts']]
+    assert names == ['eh-1', 'eh-2', 'eh-3']
     assert report['hosts'][0] == {
         'name': 'eh-1',
         'state': 'live',
-        'incarnation': 3,
-        'version': 7,
+        'incarnation': 6,
+        'version': 1,
         'confirmation_age_s': 0.25,
         'reachable': True,
         'ready': True,
         'leaving': False,
-        'slot': 0,
+        'slot': 1,
     }
-    assert report['hosts'][1]['name'] == 'eh-2'
+    assert report['hosts'][1]['reachable'] is False
+    assert report['hosts'][1]['confirmation_age_s'] is None
 
 
 async def test_document_keeps_its_bytes(port, view):
     """Guards against a document that is rewritten on the way."""
     assert (await port.call('GET', '/v1/document'))[0] == 404
-    view.environment = Environment.from_bytes(BODY, version=7).unwrap()
+    await port.call('POST', PROMOTE, BODY)
     assert await port.call('GET', '/v1/document') == (200, BODY.decode())
 
 
