Prove promotions in a fault matrix and against the stand-in platform

Cause: the promise of one truthful answer per attempt was only checked for single faults.

Change: bench.promotion_matrix runs 14 faults at 6 steps of a promotion and 8 steps of a key withdrawal on virtual time and checks each answer against the platform's rows; an empty cell fails. It found one: a read that lags behind the writes gave a final conflict for a version that existed. Such a read is now repeated for 2 s. The same faults run over HTTP against standins.platform.

The read-back step is a promotion whose write lost its answer, with the fault on the read that follows.

Conclusion: no fault of the matrix makes an answer untrue.

--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -37,6 +37,9 @@
 # A platform call has a deadline of 0.5 s, so this is more than ten calls.
 PROMOTION_LIMIT_S = 8.0
 RETRY_PAUSE_S = 0.2
+# A version below the replaced one is usually an operator's slip, but can be
+# a read that lags behind the writes; this long it is read again.
+LAGGING_READ_LIMIT_S = 2.0
 FILE_NAME = 'document'
 
 RowT = TypeVar('RowT')
@@ -160,8 +163,7 @@
             attempt_id,
             promoter,
         )
-        run = Run(self, attempt, self.clock() + self.limit_s)
-        outcome = await run.settle()
+        outcome = await Run(self, attempt).settle()
         log_outcome(attempt, outcome)
         return outcome
 
@@ -193,13 +195,13 @@
         self,
         promoter: Promoter,
         attempt: Attempt,
-        deadline: float,
     ) -> None:
         """Start before the first call to the platform."""
         self.promoter = promoter
         self.store = promoter.store
         self.attempt = attempt
-        self.deadline = deadline
+        self.began = promoter.clock()
+        self.deadline = self.began + promoter.limit_s
         self.transition_checked = False
         self.stored = False
         # Set before the first conditional write: from then on the attempt
@@ -257,6 +259,11 @@
         replaces, so that entry alone decides it.
         """
         entry = self.attempt.entry
+        elapsed_s = self.promoter.clock() - self.began
+        behind = standing.version < self.attempt.expected_version
+        if behind and elapsed_s < LAGGING_READ_LIMIT_S:
+            detail = f'a read returned version {standing.version}'
+            return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
         made = standing.find(entry.version)
         if made is None:
             return Err(conflict(self.attempt, standing))
--- a/tests/cli/transcript.py
+++ b/tests/cli/transcript.py
@@ -105,7 +105,7 @@
     if what == 'fault':
         step, fault = rest.split(': ')
         kind, times = fault.split()
-        agent.store.faults[step] = [Fault(step, kind), int(times)]
+        agent.store.switch_faults(Fault(step, kind, int(times)))
     else:
         attribute, name = rest.split()
         getattr(agent, attribute).add(name)
--- a/tests/document/fakes.py
+++ b/tests/document/fakes.py
@@ -1,6 +1,7 @@
 """In-memory platform with faults at chosen calls, and sample documents."""
 
 import asyncio
+import copy
 import dataclasses
 import pathlib
 from collections.abc import Sequence
@@ -11,10 +12,18 @@
 from egretmill.errors import ErrorKind, Failure
 from egretmill.store import Put, Row
 
-__all__ = ('Clock', 'FakeStore', 'Fault', 'edited', 'sample')
+__all__ = ('AgentKilled', 'Clock', 'FakeStore', 'Fault', 'edited', 'sample')
 
 EXAMPLE = pathlib.Path(__file__).parents[2] / 'docs/examples/environment.toml'
 CALL_TIMEOUT_S = 0.5
+#: Time that a call takes under a fault.
+DURATIONS_S = {
+    'down': CALL_TIMEOUT_S,
+    'late': CALL_TIMEOUT_S,
+    'lost': CALL_TIMEOUT_S,
+    'slow': 0.45,
+    'paused': 120.0,
+}
 
 
 def sample() -> str:
@@ -46,39 +55,71 @@
         await asyncio.sleep(0)
 
 
+class AgentKilled(Exception):
+    """The process that made the call has ended."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Fault:
     """What happens to calls of one step.
 
     ``down``: no effect, no answer. ``lost``: the effect without the answer.
     ``late``: like ``down`` now, but a write takes effect ``delay_calls``
-    calls later. ``times`` limits how many calls are hit.
+    calls later. ``slow``: the answer takes most of the deadline. ``paused``:
+    the caller sleeps for two minutes after the answer. ``stale``: a read
+    returns the row before the last write. ``damaged``: a read returns other
+    bytes. ``rival``: another operator promotes before the call. ``killed``
+    and ``killed after``: the caller dies before or after the effect.
+
+    ``skip`` calls are spared, then ``times`` calls are hit.
     """
 
     step: str
     kind: str
     times: int = 1000000
+    skip: int = 0
     delay_calls: int = 2
 
 
 class FakeStore:
-    """Tables and objects with compare-and-set, as the port describes."""
+    """Tables and objects with compare-and-set, as the port describes.
+
+    The names of the steps are ``get <key>``, ``get object``, ``put object``
+    and ``put rows``, after the prefix of the caller.
+    """
 
     def __init__(self, clock: Clock, faults: Sequence[Fault] = ()) -> None:
         """Start empty."""
         self.clock = clock
+        self.prefix = ''
         self.rows: dict[str, Row] = {}
+        self.previous: dict[str, Row] = {}
         self.objects: dict[str, bytes] = {}
-        self.faults = {fault.step: [fault, fault.times] for fault in faults}
+        self.faults: dict[str, list] = {}
         self.late: list[list] = []
         self.calls: list[str] = []
+        self.rival = None
+        self.switch_faults(*faults)
+
+    def switch_faults(self, *faults: Fault) -> None:
+        """Replace all faults."""
+        self.faults.clear()
+        for fault in faults:
+            self.faults[fault.step] = [fault, fault.skip, fault.times]
+
+    def view(self, prefix: str) -> 'FakeStore':
+        """Return the same platform with other names of the steps."""
+        seen = copy.copy(self)
+        seen.prefix = prefix
+        return seen
 
     async def get_row(self, key: str) -> Result[Row | None, Failure]:
         """Return a row."""
         return await self.run(
             f'get {key}',
             lambda: Ok(self.rows.get(key, None)),
-            writes=False,
+            stale=lambda: Ok(self.previous.get(key, None)),
+            damaged=Ok(Row(1, '{"version": ')),
         )
 
     async def put_row(
@@ -104,7 +145,7 @@
                 return Err(Failure(ErrorKind.NOT_FOUND, digest))
             return Ok(found)
 
-        return await self.run('get object', read, writes=False)
+        return await self.run('get object', read, damaged=Ok(b'[shift]'))
 
     async def put_object(self, body: bytes) -> Result[str, Failure]:
         """Store an object."""
@@ -121,37 +162,57 @@
             found = self.rows.get(put.key, Row(0, ''))
             if found.version != put.expected_version:
                 return Err(Failure(ErrorKind.VERSION_CONFLICT, put.key))
+        self.previous.update(self.rows)
         for put in puts:
             self.rows[put.key] = Row(put.expected_version + 1, put.body)
         return Ok(None)
 
-    async def run(self, step, effect, *, writes=True):
-        """Make one call under the faults of its step."""
+    async def run(self, step, effect, *, stale=None, damaged=None):
+        """Make one call under the fault of its step.
+
+        A call without a stale or damaged form runs as usual.
+        """
         await asyncio.sleep(0)
-        self.calls.append(step)
+        self.calls.append(self.prefix + step)
         self.apply_late()
-        fault = self.fault_of(step)
-        if fault is None:
-            return effect()
-        self.clock.now += CALL_TIMEOUT_S
-        if fault.kind == 'lost':
-            effect()
-        if fault.kind == 'late' and writes:
-            self.late.append([fault.delay_calls, effect])
-        return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE, f'{step}: timeout'))
-
-    def apply_late(self) -> None:
+        fault = self.fault_of(self.prefix + step)
+        kind = fault.kind if fault else ''
+        match kind:
+            case 'rival':
+                await self.rival()
+            case 'killed':
+                raise AgentKilled(step)
+            case 'damaged':
+                return damaged or effect()
+            case 'stale':
+                return (stale or effect)()
+            case 'late' if damaged is None:
+                self.late.append([fault.delay_calls, effect])
+        answer = None if kind in {'down', 'late'} else effect()
+        if kind == 'killed after':
+            raise AgentKilled(step)
+        self.clock.now += DURATIONS_S.get(kind, 0)
+        if kind in {'down', 'late', 'lost'}:
+            detail = f'{step}: timeout'
+            return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
+        return answer
+
+    def apply_late(self, *, every: bool = False) -> None:
         """Let delayed writes take effect when their call count is up."""
         for entry in list(self.late):
             entry[0] -= 1
-            if entry[0] <= 0:
+            if entry[0] <= 0 or every:
                 self.late.remove(entry)
                 entry[1]()
 
     def fault_of(self, step: str) -> Fault | None:
         """Return the fault that hits this call, if any."""
-        found = self.faults.get(step) or self.faults.get('any')
-        if found is None or not found[1]:
+        found = self.faults.get(step, self.faults.get('any', None))
+        if found is None:
+            return None
+        fault, skip, times = found
+        if skip:
+            found[1] -= 1
             return None
-        found[1] -= 1
-        return found[0]
+        found[2] -= 1
+        return fault if times > 0 else None
--- a/tests/document/test_promotion.py
+++ b/tests/document/test_promotion.py
@@ -29,11 +29,6 @@
     return store, Promoter(store, 'eh-1', clock, sleep=clock.sleep)
 
 
-def set_faults(store: FakeStore, *faults: Fault) -> None:
-    """Replace the faults of a store."""
-    store.faults = {fault.step: [fault, fault.times] for fault in faults}
-
-
 async def test_first_and_second_version():
     """Guards against versions that do not rise by one."""
     store, promoter = platform()
@@ -129,14 +124,10 @@
 async def test_unknown_is_said_and_settled_by_a_repeat():
     """Guards against a claim of failure when the write took effect."""
     store, promoter = platform(Fault('put rows', 'lost'))
-    store.faults['get config/current'] = [
-        Fault('get config/current', 'down'),
-        0,
-    ]
     original = store.apply
 
     def apply_and_cut(puts):
-        store.faults['get config/current'][1] = 1000
+        store.switch_faults(Fault('get config/current', 'down'))
         return original(puts)
 
     store.apply = apply_and_cut
@@ -144,7 +135,7 @@
     failure = unknown.unwrap_err()
     assert failure.kind is ErrorKind.PROMOTION_UNKNOWN
     assert 'run promote again with the same attempt id' in failure.detail
-    set_faults(store)
+    store.switch_faults()
     store.apply = original
     again = await promoter.promote(FIRST, 0, 'attempt-1', 'anna')
     assert again.unwrap().version == 1
@@ -229,3 +220,15 @@
     await store.put_row(CURRENT_KEY, 0, 'not JSON')
     read = await promoter.fetch_current()
     assert read.unwrap_err().kind is ErrorKind.PLATFORM_UNAVAILABLE
+
+
+async def test_version_that_does_not_exist_yet_is_refused_soon():
+    """Guards against a slip of the operator that takes the whole limit."""
+    store, promoter = platform()
+    await promoter.promote(FIRST, 0, 'attempt-1', 'anna')
+    began = store.clock()
+    refused = await promoter.promote(SECOND, 9, 'attempt-2', 'anna')
+    failure = refused.unwrap_err()
+    assert failure.kind is ErrorKind.VERSION_CONFLICT
+    assert 'replaces version 9, but version 1 is in force' in failure.detail
+    assert store.clock() - began < 3
--- /dev/null
+++ b/tests/document/test_promotion_http.py
@@ -0,0 +1,109 @@
+"""Promotions over HTTP, against the stand-in of the platform."""
+
+import asyncio
+import time
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+
+from egretmill.document.promotion import Promoter
+from egretmill.errors import ErrorKind
+from egretmill.store import StoreClient
+from standins.platform import Faults, Platform, make_application
+from tests.document.fakes import edited, sample
+
+FIRST = sample().encode()
+SECOND = edited('rate_per_s = 120.0', 'rate_per_s = 130.0')
+
+
+class Place:
+    """A platform and the promoter of one agent."""
+
+    def __init__(self) -> None:
+        """Listen on a free port of the loopback address."""
+        bound = bind_unused_port()
+        self.platform = Platform()
+        self.server = HTTPServer(make_application(self.platform))
+        self.server.add_socket(bound[0])
+        store = StoreClient(f'http://127.0.0.1:{bound[1]}', timeout_s=0.1)
+        self.promoter = Promoter(store, 'eh-1', time.monotonic)
+        self.promoter.limit_s = 0.5
+
+    async def promote(self, body, expected_version, attempt_id):
+        """Promote as one operator."""
+        return await self.promoter.promote(
+            body,
+            expected_version,
+            attempt_id,
+            'anna',
+        )
+
+
+@pytest.fixture
+async def place():
+    """Return a platform in which version 1 is in force."""
+    opened = Place()
+    await opened.promote(FIRST, 0, 'attempt-1')
+    yield opened
+    opened.server.stop()
+
+
+@pytest.mark.parametrize('lost', [1, 2, 3])
+async def test_lost_answers(place, lost):
+    """Guards against a promotion that an HTTP answer decides alone."""
+    place.platform.faults = Faults(lose_answers=lost)
+    promoted = await place.promote(SECOND, 1, 'attempt-2')
+    assert promoted.unwrap().version == 2
+
+
+async def test_race_over_http(place):
+    """Guards against conflicts that the adapter does not pass on."""
+    outcomes = await asyncio.gather(
+        place.promote(SECOND, 1, 'attempt-2'),
+        place.promote(SECOND, 1, 'attempt-3'),
+    )
+    kinds = {outcome.err() and outcome.err().kind for outcome in outcomes}
+    assert kinds == {None, ErrorKind.VERSION_CONFLICT}
+
+
+@pytest.mark.parametrize('faults', [Faults(down=True), Faults(delay_s=0.3)])
+async def test_outage_and_recovery(place, faults):
+    """Guards against an answer that never comes, and one that is untrue."""
+    place.platform.faults = faults
+    began = time.monotonic()
+    refused = await place.promote(SECOND, 1, 'attempt-2')
+    assert time.monotonic() - began < 2
+    assert refused.unwrap_err().kind is ErrorKind.PLATFORM_UNAVAILABLE
+    place.platform.faults = Faults()
+    promoted = await place.promote(SECOND, 1, 'attempt-2')
+    assert promoted.unwrap().version == 2
+    current = (await place.promoter.fetch_current()).unwrap()
+    environment = (await place.promoter.fetch_document(current)).unwrap()
+    assert environment.body == SECOND
+
+
+async def test_slow_writes_that_take_effect_later(place):
+    """Guards against a write that is repeated after its deadline.
+
+    The platform answers reads in time but applies each write 0.3 s late,
+    when the caller has given up.
+    """
+    apply = place.platform.apply
+    loop = asyncio.get_running_loop()
+
+    def apply_late(puts):
+        loop.call_later(0.3, apply, puts)
+        place.platform.faults.lose_answers = 1
+        return []
+
+    place.platform.apply = apply_late
+    first = await place.promote(SECOND, 1, 'attempt-2')
+    again = await place.promote(SECOND, 1, 'attempt-2')
+    await asyncio.sleep(0.4)
+    assert {first.is_ok() or first.unwrap_err().kind, again.is_ok()} <= {
+        True,
+        ErrorKind.PROMOTION_UNKNOWN,
+    }
+    current = (await place.promoter.fetch_current()).unwrap()
+    assert (current.version, current.attempt_id) == (2, 'attempt-2')
--- /dev/null
+++ b/tests/document/test_promotion_matrix.py
@@ -0,0 +1,19 @@
+"""Every fault at every step of a promotion and of a key withdrawal."""
+
+import pytest
+
+from bench import promotion_matrix
+
+CASES = [
+    (promotion_matrix.PROMOTION_STEPS, promotion_matrix.run_promotion),
+    (promotion_matrix.WITHDRAWAL_STEPS, promotion_matrix.run_withdrawal),
+]
+
+
+@pytest.mark.parametrize(('steps', 'scenario'), CASES)
+def test_no_cell_is_empty(steps, scenario):
+    """Guards against a fault after which an answer is untrue."""
+    cells = promotion_matrix.matrix(steps, scenario)
+    assert len(cells) == len(steps) * len(promotion_matrix.FAULTS)
+    empty = [cell for cell in cells if not cell.text]
+    assert not empty
