Make the promotion matrix detect wrong attempt ids and digests

Change: a rival may promote the same document, a damaged object is another valid document, and an answer "nothing was written" is checked after all delayed writes have landed.

--- a/bench/promotion_matrix.py
+++ b/bench/promotion_matrix.py
@@ -40,6 +40,7 @@
 POLL_S = 0.5
 HEAL_AFTER_S = 10.0
 READ_BACK = 'read back'
+SAME_DOCUMENT = 'same document by a rival'
 
 #: Column title and fault.
 FAULTS: dict[str, dict] = {
@@ -55,6 +56,7 @@
     'stale read': {'kind': 'stale', 'times': 2},
     'damaged answer': {'kind': 'damaged', 'times': 1},
     'rival first': {'kind': 'rival', 'times': 1},
+    SAME_DOCUMENT: {'kind': 'rival', 'times': 1},
     'agent killed before': {'kind': 'killed', 'times': 1},
     'agent killed after': {'kind': 'killed after', 'times': 1},
 }
@@ -151,8 +153,9 @@
     async def rival(self) -> None:
         """Promote another document over a connection without faults."""
         clear = self.store.view('rival ')
+        body = WITHDRAWN if self.fault == SAME_DOCUMENT else RIVAL
         promoter = Promoter(clear, 'eh-3', self.clock, sleep=self.clock.sleep)
-        await promoter.promote(RIVAL.encode(), 1, 'attempt-rival', 'boris')
+        await promoter.promote(body.encode(), 1, 'attempt-rival', 'boris')
 
     async def first_call(self) -> Result[Promoted, Failure] | None:
         """Return the first answer, ``None`` when the agent died."""
@@ -171,6 +174,11 @@
         """Promote, heal, repeat the attempt, and check the answers."""
         first = await self.first_call()
         self.check_answer(first)
+        if kind_of(first) == ErrorKind.PLATFORM_UNAVAILABLE:
+            # The answer says that nothing was written, so no write of this
+            # call may take effect afterwards either.
+            self.store.apply_late(every=True)
+            self.check_not_written()
         if not self.step.startswith('host'):
             self.store.switch_faults()
         again = await self.attempt('eh-2')
@@ -201,7 +209,12 @@
         if isinstance(answer, Ok):
             require(own == 1, 'promoted, but not in the history')
         elif is_definite(answer):
-            require(not own, 'refused, but in the history')
+            self.check_not_written()
+
+    def check_not_written(self) -> None:
+        """Require that the attempt has no effect."""
+        attempts = [attempt for _, attempt in self.history()]
+        require('attempt-own' not in attempts, 'not written, but in history')
 
     async def withdraw(self, said: str) -> str:
         """Poll on one host until the key is refused there."""
@@ -282,7 +295,7 @@
     await scenario.prepare()
     said, answer = await scenario.settle()
     if isinstance(answer, Err):
-        body = WITHDRAWN.replace('rate_per_s = 40.0', 'rate_per_s = 50.0')
+        body = f'{WITHDRAWN}# rebased'
         answer = await scenario.promoter('eh-2').promote(
             body.encode(),
             2,
--- a/tests/document/fakes.py
+++ b/tests/document/fakes.py
@@ -145,7 +145,9 @@
                 return Err(Failure(ErrorKind.NOT_FOUND, digest))
             return Ok(found)
 
-        return await self.run('get object', read, damaged=Ok(b'[shift]'))
+        # Another valid document, so that only the digest can tell.
+        damaged = Ok(sample().encode() + b'# damaged')
+        return await self.run('get object', read, damaged=damaged)
 
     async def put_object(self, body: bytes) -> Result[str, Failure]:
         """Store an object."""
