Carry the entry incarnation and the confirmation age of peers

A ticket presented at another host was answered owner_lost: peers did not carry the incarnation of the entry program, so its home was never found.

--- a/egretmill/membership/peer.py
+++ b/egretmill/membership/peer.py
@@ -1,6 +1,7 @@
 """One entry host as seen from another one."""
 
 import dataclasses
+import math
 
 from egretmill.wire.messages import Heartbeat, HostRecord, PeerState
 
@@ -31,6 +32,8 @@
     leaving: bool = False
     entry_ready: bool = False
     slot_index: int | None = None
+    entry_incarnation: int = 0
+    confirmed_at: float = NEVER
     facts_at: float = NEVER
     heard_at: float = NEVER
     awake_at_answer: float = NEVER
@@ -46,6 +49,8 @@
         self.leaving = False
         self.entry_ready = False
         self.slot_index = None
+        self.entry_incarnation = 0
+        self.confirmed_at = NEVER
         self.facts_at = NEVER
         self.newer_heard = True
         self.due_at = NEVER
@@ -67,6 +72,8 @@
         self.leaving = heartbeat.leaving
         self.entry_ready = heartbeat.entry_ready
         self.slot_index = heartbeat.slot_index
+        self.entry_incarnation = heartbeat.entry_incarnation
+        self.confirmed_at = sent_at - heartbeat.confirmation_age_s
 
     def take_request(self, heartbeat: Heartbeat) -> None:
         """Learn from a heartbeat that came as a request.
@@ -109,8 +116,9 @@
             return False
         return awake_s - self.awake_at_answer <= SUSPECT_AFTER_S
 
-    def state(self, awake_s: float) -> PeerState:
+    def state(self, awake_s: float, now: float) -> PeerState:
         """Return what is known as a part of a message."""
+        age_s = now - self.confirmed_at
         return PeerState(
             host=self.record,
             incarnation=self.incarnation,
@@ -119,6 +127,8 @@
             leaving=self.leaving or self.record.state == 'leaving',
             entry_ready=self.entry_ready,
             slot_index=self.slot_index,
+            entry_incarnation=self.entry_incarnation,
+            confirmation_age_s=age_s if math.isfinite(age_s) else None,
         )
 
 
--- a/egretmill/membership/peers.py
+++ b/egretmill/membership/peers.py
@@ -138,7 +138,7 @@
         """Return all hosts with a known address, in order of names."""
         self.advance(now)
         return tuple(
-            self.known[name].state(self.awake_s)
+            self.known[name].state(self.awake_s, now)
             for name in sorted(self.known)
             if self.known[name].record is not None
         )
