Serve a new client account while an old holder is unreachable

Cause: an owned share was bounded by every older version that some holder might still apply, and an account that is absent there counted as a bound of nothing. After a host was killed, a new account had no quota until the lease of the dead host ended (70 min).

Change: a version that does not know a total does not bound it, because its holders cannot admit anything out of it. An account that was removed and granted again stays bounded by the versions that knew it.

Ruled out: shortening the lease, which would take the share of a host that is only cut off.

Before: the new test fails (Refused). After: it passes, and the test for a readmitted account shows that the bound still holds.

--- a/egretmill/quota/ownership.py
+++ b/egretmill/quota/ownership.py
@@ -94,7 +94,9 @@
         for bound in self.bounds[:-1]:
             if bound.totals is None:
                 share = self._after_unknown(bound, name, share, at)
-            elif at < bound.lifted_at + self.hold_s(name):
+            elif _knows(bound, name) and at < bound.lifted_at + self.hold_s(
+                name,
+            ):
                 share = share.lowest(bound.share(name, self.slot.index))
         return share
 
@@ -191,6 +193,13 @@
         return self.lease_until() - self.time_limit_s(name)
 
 
+def _knows(bound: _Bound, name: str) -> bool:
+    # A holder of a version without the total cannot use any of it, so a
+    # new client account is served at once although some holder of an older
+    # version is unreachable.
+    return bound.totals is not None and bound.totals.find(name) is not None
+
+
 def _is_other(old: ShareSlot | None, new: ShareSlot | None) -> bool:
     if old is None or new is None:
         return True
