--- /dev/null
+++ b/tests/cli/test_operations_pages.py
@@ -0,0 +1,57 @@
+"""Commands in the pages for operators exist with these arguments."""
+
+import pathlib
+import re
+import shlex
+
+import pytest
+from cleo.io.inputs.argv_input import ArgvInput
+
+from egretmill import events
+from egretmill.cli.application import build_application
+
+DOCS = pathlib.Path(__file__).parents[2] / 'docs'
+PAGES = sorted((DOCS / 'operations').glob('*.md'))
+COMMAND = re.compile('^ *(egretmill [^<\n]*)', re.MULTILINE)
+EVENT = re.compile('event ([0-9]{3}) `([a-z_]+)`')
+LINK = re.compile(r'\]\(([^)#]+)\)')
+
+
+def commands(page: pathlib.Path) -> list[str]:
+    """Return the command lines in the code blocks of a page."""
+    blocks = page.read_text().split('```')[1::2]
+    return [line for block in blocks for line in COMMAND.findall(block)]
+
+
+@pytest.mark.parametrize('page', PAGES, ids=lambda page: page.stem)
+def test_commands_exist(page):
+    """Guards against instructions that the tool does not understand."""
+    application = build_application()
+    for line in commands(page):
+        words = shlex.split(line)
+        name = ' '.join(words[1:3])
+        if not application.has(name):
+            name = words[1]
+        command = application.find(name)
+        rest = words[1 + len(name.split()) :]
+        command.merge_application_definition(merge_args=False)
+        parsed = ArgvInput(['egretmill', *rest])
+        parsed.bind(command.definition)
+        parsed.validate()
+
+
+@pytest.mark.parametrize('page', PAGES, ids=lambda page: page.stem)
+def test_events_and_links_exist(page):
+    """Guards against numbers and pages that operators cannot find."""
+    known = {
+        (str(event.number), event.name)
+        for event in events.CATALOGUE.all_events()
+    }
+    text = page.read_text()
+    assert set(EVENT.findall(text)) <= known
+    assert all((page.parent / link).exists() for link in LINK.findall(text))
+
+
+def test_pages_show_commands():
+    """Guards against a search that finds no command at all."""
+    assert sum(len(commands(page)) for page in PAGES) >= 15
