--- a/egretmill/admission/entry.py
+++ b/egretmill/admission/entry.py
@@ -12,6 +12,8 @@
 
 #: Time until the next attempt when a failure carries no hint, in seconds.
 DEFAULT_RETRY_AFTER_S = 0.05
+#: Least time that any request needs after admission, in seconds.
+LEAST_SERVICE_S = 0.005
 #: Failures that can end while a request waits.
 TRANSIENT = frozenset(
     (
@@ -39,6 +41,8 @@
     """A request that waits for admission.
 
     :param cost: units that the request takes from its account's turn.
+    :param needs_s: time that the request needs after admission. It is
+        dropped when less is left, because its answer would come too late.
     """
 
     service: str
@@ -46,6 +50,12 @@
     deadline_at: float
     attempt: Attempt
     cost: float = 1
+    needs_s: float = LEAST_SERVICE_S
+
+    @property
+    def latest_at(self) -> float:
+        """Return the last time at which admission still helps."""
+        return self.deadline_at - self.needs_s
 
 
 #: A request that was waiting and its answer: a grant or a failure.
--- a/egretmill/admission/flow.py
+++ b/egretmill/admission/flow.py
@@ -17,7 +17,8 @@
     """The sub-queue of an account; its head is tried first.
 
     :param deficit: unused units of cost.
-    :param gap_s: mean time between two admissions, 0 when unknown.
+    :param gap_s: mean time between two admissions while requests wait.
+    :param admitted_at: last admission, or when requests began to wait.
     """
 
     account: str
@@ -25,7 +26,7 @@
     blocked_until: float = 0
     shortage: Failure | None = None
     gap_s: float = 0
-    admitted_at: float | None = None
+    admitted_at: float = 0
     waiting: 'collections.OrderedDict[Waiting, None]' = dataclasses.field(
         default_factory=collections.OrderedDict,
     )
@@ -49,17 +50,19 @@
         return Failure(ErrorKind.OVERLOADED, detail)
 
     def wait_s(self, now: float) -> float:
-        """Return the expected wait of the last request, 0 when unknown."""
-        if self.admitted_at is None or not self.gap_s:
-            return 0
-        gap_s = max(self.gap_s, now - self.admitted_at)
-        return gap_s * len(self.waiting)
+        """Return the expected wait of the last request."""
+        return max(self.gap_s * len(self.waiting), now - self.admitted_at)
+
+    def add(self, waiting: Waiting, now: float) -> None:
+        """Queue a request as the last one."""
+        if not self.waiting:
+            self.admitted_at = now
+        self.waiting[waiting] = None
 
     def admit(self, now: float) -> Waiting:
         """Take the head out as admitted."""
-        if self.admitted_at is not None:
-            gap_s = now - self.admitted_at
-            self.gap_s += GAP_WEIGHT * (gap_s - self.gap_s)
+        gap_s = now - self.admitted_at
+        self.gap_s += GAP_WEIGHT * (gap_s - self.gap_s)
         self.admitted_at = now
         self.shortage = None
         head, _ = self.waiting.popitem(last=False)
@@ -77,20 +80,27 @@
     """Flows of one service in the order of their turns."""
 
     blocked_until: float = 0
+    length: int = 0
     flows: 'collections.OrderedDict[str, Flow]' = dataclasses.field(
         default_factory=collections.OrderedDict,
     )
 
     def can_turn(self, now: float) -> bool:
-        """Tell whether some flow may be tried."""
-        if self.blocked_until > now:
-            return False
-        return any(flow.blocked_until <= now for flow in self.flows.values())
+        """Tell whether some request may be tried."""
+        return self.length > 0 and self.wake_at() <= now
+
+    def next_flow(self, now: float) -> Flow:
+        """Return the flow whose turn it is; it may be empty."""
+        return next(
+            flow for flow in self.flows.values() if flow.blocked_until <= now
+        )
 
     def wake_at(self) -> float:
-        """Return when a flow may be tried next."""
-        first = min(flow.blocked_until for flow in self.flows.values())
-        return max(first, self.blocked_until)
+        """Return when a request may be tried next."""
+        times = [
+            flow.blocked_until for flow in self.flows.values() if flow.waiting
+        ]
+        return max(min(times), self.blocked_until)
 
 
 def retry_after_s(failure: Failure) -> float:
--- a/egretmill/admission/gate.py
+++ b/egretmill/admission/gate.py
@@ -6,8 +6,14 @@
 
 from result import Err, Ok, Result
 
-from egretmill.admission.entry import Attempt, Outcome, Waiting, is_transient
-from egretmill.admission.queue import LEAST_SERVICE_S, FairQueue
+from egretmill.admission.entry import (
+    LEAST_SERVICE_S,
+    Attempt,
+    Outcome,
+    Waiting,
+    is_transient,
+)
+from egretmill.admission.queue import FairQueue
 from egretmill.errors import ErrorKind, Failure
 
 __all__ = ('Gate',)
@@ -35,6 +41,11 @@
     """Drop a grant that holds nothing."""
 
 
+def least_service_s(service: str) -> float:
+    """Return the time that every request needs."""
+    return LEAST_SERVICE_S
+
+
 class Gate:
     """Admits requests at once or in the order of the queue.
 
@@ -42,6 +53,7 @@
     :param clock: monotonic time in seconds.
     :param give_back: takes a grant whose caller has gone meanwhile.
     :param call_later: schedules the next attempt.
+    :param needs_s: expected seconds after admission, by service.
     """
 
     def __init__(
@@ -50,11 +62,13 @@
         clock: Callable[[], float],
         give_back: Callable[[Any], None] = forget,
         call_later: CallLater = loop_call_later,
+        needs_s: Callable[[str], float] = least_service_s,
     ) -> None:
         self.queue = queue
         self.clock = clock
         self.give_back = give_back
         self.call_later = call_later
+        self.needs_s = needs_s
         self.futures: dict[Waiting, asyncio.Future[Answer]] = {}
         self.timer: Timer | None = None
 
@@ -76,7 +90,8 @@
             answer = attempt(now)
             if isinstance(answer, Ok) or not is_transient(answer.err_value):
                 return answer
-        waiting = Waiting(service, account, deadline_at, attempt)
+        needs_s = self.needs_s(service)
+        waiting = Waiting(service, account, deadline_at, attempt, 1, needs_s)
         future = asyncio.get_running_loop().create_future()
         self.futures[waiting] = future
         self._resolve(self.queue.push(waiting, now))
--- a/egretmill/admission/queue.py
+++ b/egretmill/admission/queue.py
@@ -14,9 +14,16 @@
 
 #: Units of cost that an account gets in each turn.
 QUANTUM = 1.0
-#: Time that a request needs at least after admission, in seconds. An entry
-#: with less left is dropped, because its answer would come too late.
-LEAST_SERVICE_S = 0.005
+#: Most unused units that an account keeps. Requests arrive in bursts: with
+#: no credit, a small account loses each turn that finds its queue empty and
+#: gets less than its fair share.
+CREDIT = 20.0
+#: Part of the time until the latest admission that a request may expect to
+#: wait. A longer queue serves nobody more; it only delays every answer.
+WAIT_PART = 0.3
+#: Requests of an account that may wait until their deadline. With fewer, the
+#: queue of an account with a low rate runs empty and its turns are lost.
+FEWEST_WAITING = 4
 
 
 class FairQueue:
@@ -49,17 +56,20 @@
         A full queue refuses the newest request of the account that has the
         most waiting, so that an account that floods the queue displaces
         only itself. A request is refused at once when, at the pace of its
-        account's last admissions, its turn would come after its deadline.
+        account's last admissions, its turn would come too late.
         """
         ring = self.rings.setdefault(waiting.service, Ring())
         flow = ring.flows.setdefault(waiting.account, Flow(waiting.account))
-        flow.waiting[waiting] = None
+        flow.add(waiting, now)
+        ring.length += 1
         self.queued.add(waiting)
-        entry = (waiting.deadline_at, next(self.sequence), waiting)
+        entry = (waiting.latest_at, next(self.sequence), waiting)
         heapq.heappush(self.deadlines, entry)
-        latest = waiting.deadline_at - LEAST_SERVICE_S
-        if now + flow.wait_s(now) > latest:
-            failure = flow.refusal('its turn comes after the deadline')
+        patience_s = waiting.latest_at - now
+        if len(flow.waiting) > FEWEST_WAITING:
+            patience_s *= WAIT_PART
+        if flow.wait_s(now) > patience_s:
+            failure = flow.refusal('its turn would come too late')
             return [self._refuse(waiting, failure)]
         return self._displace() if len(self) > self.capacity else []
 
@@ -67,11 +77,9 @@
         """Remove a request whose caller has gone; tell if it was queued."""
         if waiting not in self.queued:
             return False
-        self.queued.discard(waiting)
-        ring = self.rings[waiting.service]
-        flow = ring.flows[waiting.account]
+        flow = self.rings[waiting.service].flows[waiting.account]
         flow.waiting.pop(waiting)
-        self._drop_empty(waiting.service, flow)
+        self._forget(waiting)
         return True
 
     def unblock(self) -> None:
@@ -87,7 +95,7 @@
         for service in tuple(self.rings):
             ring = self.rings[service]
             while ring.can_turn(now):
-                outcomes.extend(self._turn(service, ring, now))
+                outcomes.extend(self._turn(ring, now))
         return outcomes
 
     def next_wake(self) -> float | None:
@@ -96,17 +104,14 @@
         if not self.deadlines:
             return None
         wakes = [ring.wake_at() for ring in self.rings.values()]
-        return min(*wakes, self.deadlines[0][0] - LEAST_SERVICE_S)
-
-    def _turn(
-        self,
-        service: str,
-        ring: Ring,
-        now: float,
-    ) -> Iterator[Outcome]:
-        flow = next(
-            flow for flow in ring.flows.values() if flow.blocked_until <= now
-        )
+        return min(*wakes, self.deadlines[0][0])
+
+    def _turn(self, ring: Ring, now: float) -> Iterator[Outcome]:
+        flow = ring.next_flow(now)
+        if not flow.waiting:
+            flow.deficit = min(CREDIT, flow.deficit + QUANTUM)
+            ring.flows.move_to_end(flow.account)
+            return
         if flow.deficit < flow.head.cost:
             flow.deficit += QUANTUM
         while flow.waiting and flow.deficit >= flow.head.cost:
@@ -119,17 +124,16 @@
                 break
             else:
                 flow.waiting.pop(head)
-            self.queued.discard(head)
+            self._forget(head)
             yield head, answer
         if ring.blocked_until <= now:
             ring.flows.move_to_end(flow.account)
-        self._drop_empty(service, flow)
 
     def _expire(self, now: float) -> Iterator[Outcome]:
         self._forget_answered()
         while self.deadlines:
-            deadline_at, _, waiting = self.deadlines[0]
-            if deadline_at - LEAST_SERVICE_S > now:
+            latest_at, _, waiting = self.deadlines[0]
+            if latest_at > now:
                 return
             flow = self.rings[waiting.service].flows[waiting.account]
             failure = Failure(ErrorKind.QUEUE_TIMEOUT, 'deadline in the queue')
@@ -154,13 +158,12 @@
         while self.deadlines and self.deadlines[0][2] not in self.queued:
             heapq.heappop(self.deadlines)
 
-    def _drop_empty(self, service: str, flow: Flow) -> None:
-        if flow.waiting:
-            return
-        ring = self.rings[service]
-        ring.flows.pop(flow.account, None)
-        if not ring.flows:
-            self.rings.pop(service)
+    def _forget(self, waiting: Waiting) -> None:
+        self.queued.discard(waiting)
+        ring = self.rings[waiting.service]
+        ring.length -= 1
+        if not ring.length:
+            self.rings.pop(waiting.service)
 
 
 def _block(ring: Ring, flow: Flow, shortage: Failure, now: float) -> None:
--- a/egretmill/routing/observations.py
+++ b/egretmill/routing/observations.py
@@ -34,9 +34,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
-    """A load report with the own in-flight count when it arrived."""
+    """A load report; ``running`` counts the requests of all hosts."""
 
     running: int
     draining: bool
     received_at: float
-    own_in_flight: int
--- a/egretmill/routing/policies.py
+++ b/egretmill/routing/policies.py
@@ -1,6 +1,7 @@
 """Policies that choose one upstream of a site."""
 
 import random
+import statistics
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import ClassVar
@@ -20,6 +21,9 @@
     'get_policy',
 )
 
+#: Latencies up to this factor over the median upstream's count as equal:
+#: means of few samples with a long tail differ by as much by chance.
+SLOW_FACTOR = 2.5
 #: Latency that is assumed before the first answer, in seconds.
 UNKNOWN_LATENCY_S = 0.01
 
@@ -88,20 +92,33 @@
 
 
 class LeastLoadLatency(Policy):
-    """Lowest expected time from corrected reports and mean latency.
+    """Fewest requests of all hosts per slot, slow upstreams last.
 
-    The load is the report corrected by own requests, so that hosts see each
-    other's requests; the mean latency exposes an upstream that reports
-    itself idle while it is slow.
+    Reports show the requests of other hosts. The mean latency exposes an
+    upstream that reports itself idle while it is slow. Loads are compared
+    in whole requests, and the first of equal views is taken, so that the
+    router's order keeps hosts apart.
     """
 
     name = 'least-load-latency'
 
-    def cost(self, view: UpstreamView, now: float) -> float:
-        """Return the expected time of one more request."""
-        latency_s = view.latency.mean_s or UNKNOWN_LATENCY_S
-        slots = max(view.record.slots * view.ramp.level_at(now), 1)
-        return latency_s * (1 + view.load(now)) / slots
+    def choose(
+        self,
+        views: Sequence[UpstreamView],
+        now: float,
+        rng: random.Random,
+    ) -> UpstreamView:
+        """Return the first view with the lowest cost."""
+        known = [view.latency.mean_s for view in views if view.latency.mean_s]
+        usual_s = statistics.median_low(known) if known else 0
+        return min(views, key=lambda view: _load_cost(view, usual_s, now))
+
+
+def _load_cost(view: UpstreamView, usual_s: float, now: float) -> float:
+    requests = view.load(now) + 1
+    if usual_s and view.latency.mean_s > SLOW_FACTOR * usual_s:
+        requests *= view.latency.mean_s / usual_s
+    return round(requests) / max(view.record.slots, 1)
 
 
 #: All policies by their declared name.
--- a/egretmill/routing/router.py
+++ b/egretmill/routing/router.py
@@ -43,6 +43,9 @@
     :param host_domain: failure domain of this host.
     :param policy: chooses among the upstreams of a site.
     :param rng: source of all random choices.
+    :param rotation: number of this host among all (its share slot). Hosts
+        that see equal upstreams then begin at different ones; ``None``
+        begins at a random one.
     """
 
     def __init__(
@@ -51,11 +54,13 @@
         host_domain: str,
         policy: Policy,
         rng: random.Random,
+        rotation: int | None = None,
     ) -> None:
         self.table = table
         self.host_domain = host_domain
         self.policy = policy
         self.rng = rng
+        self.rotation = rotation
 
     def choose(
         self,
@@ -80,7 +85,7 @@
         site = self._choose_site(order, reader, seen)
         if site is None:
             return Err(_failure(service, seen))
-        view = self._choose_upstream(site, now)
+        view = self._choose_upstream(service, site, now)
         decision = Decision(
             service,
             site.name,
@@ -188,18 +193,25 @@
             opened.insert(0, best)
         return min(opened, key=lambda site: site.utilisation, default=None)
 
-    def _choose_upstream(self, site: SiteView, now: float) -> UpstreamView:
-        views = site.views
+    def _choose_upstream(
+        self,
+        service: str,
+        site: SiteView,
+        now: float,
+    ) -> UpstreamView:
         # A due probe goes first: it is one request, and only it can bring
         # the upstream back.
-        probes = [view for view in views if view.health.left_out]
-        if probes:
-            return probes[0]
-        flowing = [view for view in views if not view.stalled(now)] or views
-        with_room = [
-            view for view in flowing if view.load(now) < view.record.slots
-        ]
-        return self.policy.choose(with_room or flowing, now, self.rng)
+        probes = [view for view in site.views if view.health.left_out]
+        flowing = [view for view in site.views if not view.stalled(now)]
+        usable = set(probes or flowing or site.views)
+        known = self.table.at(service, site.name)
+        start = self.rotation
+        if start is None:
+            start = self.rng.randrange(len(known))
+        start %= len(known)
+        rotated = known[start:] + known[:start]
+        ordered = list(filter(usable.__contains__, rotated))
+        return self.policy.choose(ordered, now, self.rng)
 
     def _explain_site(
         self,
@@ -228,7 +240,7 @@
     return (
         f'upstream {view.record.name}: {text}, '
         + f'{view.in_flight}/{view.limit(reader.now)} own in flight, '
-        + f'load {view.load(reader.now)}/{view.record.slots}, '
+        + f'load {view.load(reader.now):.1f}/{view.record.slots}, '
         + f'latency {view.latency.mean_s * 1000:.1f} ms'
     )
 
@@ -246,7 +258,7 @@
     ]
     taken = (
         f'{site.name}: {site.running}/{site.capacity} running, '
-        + f'{len(site.views)} candidates, load {view.load(now)}, '
+        + f'{len(site.views)} candidates, load {view.load(now):.1f}, '
         + f'latency {view.latency.mean_s * 1000:.1f} ms'
     )
     return (*passed, taken)
--- a/egretmill/routing/upstreams.py
+++ b/egretmill/routing/upstreams.py
@@ -1,5 +1,6 @@
 """Views of all upstreams that this host knows."""
 
+import statistics
 from collections.abc import Iterator
 
 import msgspec
@@ -40,7 +41,8 @@
             self._remove(name)
         self.filled = self.filled or bool(upstreams)
         self.index.clear()
-        for view in self.views.values():
+        # The same order at every host; the rotation of a router counts on it.
+        for _, view in sorted(self.views.items()):
             place = (view.record.service, view.record.site)
             self.index.setdefault(place, []).append(view)
 
@@ -86,6 +88,15 @@
         """Return the own requests in flight at a site."""
         return sum(view.in_flight for view in self.at(service, site))
 
+    def expected_latency_s(self, service: str) -> float:
+        """Return the mean latency of a service, 0 when unknown."""
+        means = [
+            view.latency.mean_s
+            for view in self.views.values()
+            if view.record.service == service and view.latency.mean_s
+        ]
+        return statistics.fmean(means) if means else 0
+
     def connection_limit(self, upstream: str) -> int:
         """Return how many connections this host may hold, 0 if unknown."""
         view = self.views.get(upstream)
--- a/egretmill/routing/view.py
+++ b/egretmill/routing/view.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from egretmill.routing.health import Health, Latency, Ramp
 from egretmill.routing.observations import (
@@ -15,6 +16,8 @@
 
 #: Older load reports are not used (design page, section 9).
 REPORT_MAX_AGE_S = 2.0
+#: Weight of earlier reports after this time is 1/e.
+REPORT_DECAY_S = 5.0
 #: Reports must deny the drain for this time after a gap in the reports
 #: before an upstream returns that announced its drain in an answer.
 DRAIN_DENIAL_S = 5.0
@@ -53,11 +56,12 @@
     EXCLUDED = 'already tried'
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class UpstreamView:
     """State of one upstream as seen by this host.
 
     :param connection_limit: connections that this host may hold.
+    :param others: smoothed requests of the other hosts, from reports.
     """
 
     record: UpstreamRecord
@@ -68,6 +72,7 @@
     shed_hold_s: float = 0
     denied_since: float | None = None
     report: LoadReport | None = None
+    others: float = 0
     drains: set[DrainSource] = dataclasses.field(default_factory=set)
     health: Health = dataclasses.field(default_factory=Health)
     latency: Latency = dataclasses.field(default_factory=Latency)
@@ -108,16 +113,17 @@
         allowed_s = max(STALL_S, STALL_FACTOR * self.latency.mean_s)
         return now - self.progress_at > allowed_s
 
-    def load(self, now: float) -> int:
+    def load(self, now: float) -> float:
         """Return the estimated requests of all hosts at the upstream.
 
-        A report is corrected by what this host began and finished since.
+        These are the own ones, and the mean of what the reports show beyond
+        them. The mean is smooth, because hosts that all follow the newest
+        report send to the same upstream until the next one.
         """
         report = self.report
         if report is None or now - report.received_at > REPORT_MAX_AGE_S:
             return self.in_flight
-        change = self.in_flight - report.own_in_flight
-        return max(self.in_flight, report.running + change)
+        return self.in_flight + self.others
 
     def begin(self, now: float) -> None:
         """Note that a request is sent."""
@@ -161,12 +167,10 @@
             return
         last_at = received_at if last is None else last.received_at
         gap = received_at - last_at > REPORT_MAX_AGE_S
-        self.report = LoadReport(
-            max(running, 0),
-            draining,
-            received_at,
-            self.in_flight,
-        )
+        self.report = LoadReport(max(running, 0), draining, received_at)
+        others = max(running - self.in_flight, 0)
+        kept = math.exp((last_at - received_at) / REPORT_DECAY_S)
+        self.others = kept * self.others + (1 - kept) * others
         if draining:
             self.drains.add(DrainSource.REPORT)
             self.denied_since = None
@@ -177,6 +181,7 @@
         """Start again as a returned upstream; requests in flight remain."""
         self.record = record
         self.report = None
+        self.others = 0
         self.drains.clear()
         self.denied_since = None
         self.shed_until = 0
