Serve client blocks from the object store to the steer program

The agent reads the object once, cuts it into parts of 1 MiB and drops it 5 s after the last part, because a table of 3.2 million blocks has half of its memory budget. Deltas are found by the row blocks/<digest>.

--- a/egretmill/agent/program.py
+++ b/egretmill/agent/program.py
@@ -8,6 +8,7 @@
 from tornado.httpserver import HTTPServer
 
 from egretmill import events
+from egretmill.agent.blocks import BlocksServer
 from egretmill.agent.configuration import ConfigurationWatch
 from egretmill.agent.heartbeats import Heartbeats
 from egretmill.agent.links import PeerLinks
@@ -63,6 +64,7 @@
             self.links,
         )
         self.heartbeats = Heartbeats(self.state, self.links)
+        self.blocks = BlocksServer(self.state, self.store)
         self.platform = PlatformWatch(self.state, self.store)
         self.claims = ClaimService(
             self.store,
@@ -161,6 +163,8 @@
                 return Ok(await self.claims.claim(message))
             case messages.RecordAnswer():
                 return await self.claims.record(message)
+            case messages.FetchBlocks():
+                return await self.blocks.part(message)
             case messages.FetchDocument():
                 return self.configuration.document()
         kind = type(message).__name__
@@ -179,6 +183,7 @@
         local.ready = report.ready
         local.leaving = report.leaving
         local.seen_at = self.state.now()
+        self.blocks.drop_unused()
         return self.state.host_state(report.known_version)
 
     async def stop(self) -> None:
