Lend tokens for a short time and rate for a long one

Cause: loans that moved rate, capacity and tokens together for 2 s locked the burst capacity of the lenders.

Change: a host that only lacks tokens borrows whole tokens for 0.25 s and gives the capacity back when it holds none of them. Rate follows an 8 s estimate of demand with 10% hysteresis. Both lenders and borrowers split tokens instead of keeping a reserve for the demand of 0.3 s.

--- a/egretmill/quota/concurrency.py
+++ b/egretmill/quota/concurrency.py
@@ -153,7 +153,11 @@
         if missing > 0:
             for peer in others:
                 portion = math.ceil(missing / len(others))
-                yield Question(peer, Need(float(portion)))
+                yield Question(
+                    peer,
+                    Need(float(portion)),
+                    self.duration_s(),
+                )
 
     def _startable(self, now: float) -> list[Part]:
         last_start = now + self.ownership.time_limit_s(self.name)
@@ -178,9 +182,10 @@
 
     def _follow_up(self, part: Part, now: float) -> Question | None:
         if self._is_idle_part(part, now):
-            return Question(part.peer, Need(), part)
+            return Question(part.peer, Need(), part=part)
         if self._is_due(part, now):
-            return Question(part.peer, Need(part.share.amount), part)
+            need = Need(part.share.amount)
+            return Question(part.peer, need, self.duration_s(), part)
         return None
 
     def _is_idle_part(self, part: Part, now: float) -> bool:
--- a/egretmill/quota/holdings.py
+++ b/egretmill/quota/holdings.py
@@ -217,7 +217,7 @@
             holding.advance(now)
             for part in holding.borrowed:
                 if not part.used:
-                    question = Question(part.peer, NO_NEED, part)
+                    question = Question(part.peer, NO_NEED, part=part)
                     borrow = self._borrow(name, question, now)
                     returned.append((part.peer, borrow))
         return returned
@@ -249,10 +249,8 @@
 
     def _borrow(self, name: str, question: Question, now: float) -> Borrow:
         holding = self.holdings[name]
-        duration_s = holding.duration_s()
         tokens = question.need.tokens
         if question.part and not question.need:
-            duration_s = 0.0
             tokens = holding.give_back(question.part, now)
         borrow = Borrow(
             borrower=self.host,
@@ -261,7 +259,7 @@
             version=_version(self.ownership),
             amount=question.need.amount,
             tokens=tokens,
-            duration_s=duration_s,
+            duration_s=question.duration_s,
             renews=question.part.loan_id if question.part else '',
             borrow_id=self._new_id(),
         )
--- a/egretmill/quota/loans.py
+++ b/egretmill/quota/loans.py
@@ -58,11 +58,13 @@
 
     :param need: the whole rate or number of slots wanted from the peer, and
         further tokens; nothing gives ``part`` back.
+    :param duration_s: how long the loan should last.
     :param part: the loan to extend.
     """
 
     peer: str
     need: Need
+    duration_s: float = 0.0
     part: Part | None = None
 
 
--- a/egretmill/quota/policy.py
+++ b/egretmill/quota/policy.py
@@ -24,7 +24,12 @@
     :param ask_below: more rate is asked for below demand times this.
     :param ask_up_to: and so much that demand times this is covered.
     :param keep: a lender keeps its own demand times this.
-    :param tokens_low: tokens are asked for below this part of the wish.
+    :param low_s: tokens are asked for when they do not cover this time.
+    :param tokens_per_peer: so many tokens are asked of one peer.
+    :param tokens_s: a loan of tokens alone lasts this long. It must cover
+        the way between regions; the lender misses the capacity meanwhile.
+    :param returns_tokens: the capacity of such a loan is given back as soon
+        as it holds no tokens.
     :param renew_part: a loan is renewed in the last part of its life.
     :param refused_s: first wait after a peer had nothing to spare.
     :param refused_most_s: longest wait after repeated refusals.
@@ -35,16 +40,19 @@
 
     lends: bool = True
     renews: bool = True
-    demand_s: float = 1.0
+    demand_s: float = 8.0
     unmet_s: float = 0.2
     horizon_s: float = 0.3
-    ask_below: float = 1.1
-    ask_up_to: float = 1.3
-    keep: float = 1.15
-    tokens_low: float = 0.5
+    ask_below: float = 0.9
+    ask_up_to: float = 1.05
+    keep: float = 1.0
+    low_s: float = 0.05
+    tokens_per_peer: float = 2.0
+    tokens_s: float = 0.25
+    returns_tokens: bool = True
     renew_part: float = 0.5
     refused_s: float = 0.1
-    refused_most_s: float = 1.0
+    refused_most_s: float = 0.8
     unanswered_s: float = 0.5
     idle_s: float = 1.0
     slots_ahead: float = 0.1
@@ -52,14 +60,18 @@
     def tokens_wanted(self, rate: float, unmet: float) -> float:
         """Return how many tokens cover the demand of the horizon.
 
-        Arrivals vary by about the square root of their number; twice that
-        covers all but a few in a hundred intervals.
+        Arrivals vary by about the square root of their number.
         """
         expected = rate * self.horizon_s
-        wanted = expected + 2 * math.sqrt(expected) + unmet
+        wanted = expected + math.sqrt(expected) + unmet
         # A part of a token serves nobody.
         return max(1.0, wanted) if wanted > SLIGHT else 0.0
 
+    def tokens_low(self, rate: float, unmet: float) -> float:
+        """Return below how many tokens peers are asked for more."""
+        low = rate * self.low_s + unmet
+        return low if low > SLIGHT / 10 else 0.0
+
 
 #: Demand below this many tokens per horizon is over.
 SLIGHT = 0.05
--- a/egretmill/quota/rate_policy.py
+++ b/egretmill/quota/rate_policy.py
@@ -1,12 +1,18 @@
 """How much of a rate total to keep, lend and ask for."""
 
 import dataclasses
+import math
 
 from egretmill.quota.division import Share
 from egretmill.quota.policy import Need, Policy
 
 __all__ = ('RateView',)
 
+HALF = 0.5
+ROUNDING = 1e-6
+#: Below this burst per host, some hosts own at most one token.
+FEW_TOKENS = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RateView:
@@ -27,36 +33,49 @@
     unmet: float
 
     def spare_tokens(self, asked: float) -> float:
-        """Return how many tokens to lend."""
-        kept = self.policy.tokens_wanted(self.rate, self.unmet)
-        spare = min(self._free_capacity, self.tokens - kept)
-        return max(0.0, min(asked, spare))
+        """Return how many tokens to lend, in whole tokens.
+
+        A part of a token serves no request. Sharing evenly keeps the next
+        question away from both sides.
+        """
+        expected = self.rate * self.policy.horizon_s
+        kept = self.unmet + min(expected, self.tokens / 2)
+        spare = math.floor(self.tokens - kept + HALF)
+        most = min(spare, self.tokens, self._free_capacity, math.ceil(asked))
+        return float(max(0, math.floor(most)))
 
     def spare_share(self, old: Share, asked: float, tokens: float) -> Share:
         """Return to which share a loan of ``old`` may change.
 
-        The capacity covers the tokens; beyond that it follows the rate.
+        The capacity covers the tokens; beyond that it follows the rate, in
+        whole tokens. Where hosts own a single token or none, rate without a
+        token of capacity would be lost.
         """
         needed = self.rate * self.policy.keep
         kept = max(0.0, needed - self.borrowed.amount)
         free = self.owned.amount - self.lent.amount
         amount = max(0.0, min(asked, old.amount + free - kept))
-        in_proportion = 0.0
+        in_proportion = 0
         if self.owned.amount:
-            in_proportion = self.owned.capacity * amount / self.owned.amount
-        wanted = self.policy.tokens_wanted(needed, self.unmet)
+            part = amount / self.owned.amount
+            in_proportion = math.floor(self.owned.capacity * part + ROUNDING)
+        wanted = math.ceil(self.unmet + needed * self.policy.horizon_s)
         more = min(in_proportion - old.capacity, self._free_capacity - wanted)
-        capacity = old.capacity + max(tokens, more)
-        return Share(amount, max(0.0, capacity))
+        if tokens:
+            more = max(tokens, more)
+        capacity = max(0.0, old.capacity + more)
+        if capacity < 1 and self.owned.capacity < FEW_TOKENS:
+            amount = 0.0
+        return Share(amount, capacity)
 
     def need(self) -> Need:
         """Return what to ask peers for."""
         missing = 0.0
         if self.level.amount < self.rate * self.policy.ask_below:
             missing = self.rate * self.policy.ask_up_to - self.level.amount
-        wanted = self.policy.tokens_wanted(self.rate, self.unmet)
+        wanted = 1 + self.rate * self.policy.horizon_s / 3 + self.unmet
         short = 0.0
-        if self.tokens < wanted * self.policy.tokens_low:
+        if self.tokens < self.policy.tokens_low(self.rate, self.unmet):
             short = wanted - self.tokens
         return Need(missing, short)
 
--- a/egretmill/quota/rates.py
+++ b/egretmill/quota/rates.py
@@ -141,21 +141,16 @@
         self.advance(now)
         view = self._view(now)
         need = view.need()
-        by_peer = {part.peer: part for part in self.borrowed}
-        if need and askable:
-            portion = split(need, len(askable))
-            for peer in askable:
-                yield _extended(peer, portion, by_peer.get(peer))
-            return
-        renew_s = self.duration_s() * self.policy.renew_part
-        for peer, part in by_peer.items():
-            left_s = part.ends_at - now
-            if peer not in askable or left_s > renew_s:
-                continue
-            if view.can_do_without(part.share):
-                yield Question(peer, Need(), part)
-            else:
-                yield Question(peer, Need(part.share.amount), part)
+        free = list(askable)
+        for part in self.borrowed:
+            question = _follow_up(self, view, part, now)
+            if question and part.peer in free:
+                free.remove(part.peer)
+                yield question
+        if need.amount:
+            yield from _ask_rate(self, need, free)
+        elif need:
+            yield from _ask_tokens(self, need, free)
 
     def _set_level(self, at: float) -> None:
         self.lent.expire(at)
@@ -196,6 +191,55 @@
         )
 
 
-def _extended(peer: str, portion: Need, part: Part | None) -> Question:
-    held = part.share.amount if part else 0
-    return Question(peer, Need(held + portion.amount, portion.tokens), part)
+def _follow_up(
+    holding: RateHolding,
+    view: RateView,
+    part: Part,
+    now: float,
+) -> Question | None:
+    if not part.share.amount:
+        unused = holding.bucket.level.capacity - holding.bucket.tokens
+        if holding.policy.returns_tokens and unused >= part.share.capacity:
+            return Question(part.peer, Need(), part=part)
+        return None
+    renew_s = holding.duration_s() * holding.policy.renew_part
+    if part.ends_at - now > renew_s or not holding.policy.renews:
+        return None
+    if view.can_do_without(part.share):
+        return Question(part.peer, Need(), part=part)
+    need = Need(part.share.amount)
+    return Question(part.peer, need, holding.duration_s(), part)
+
+
+def _ask_rate(
+    holding: RateHolding,
+    need: Need,
+    askable: Sequence[str],
+) -> Iterator[Question]:
+    """Ask all peers; a loan that a peer already made is extended."""
+    held = {
+        part.peer: part
+        for part in holding.borrowed
+        if part.share.amount and holding.policy.renews
+    }
+    for peer in askable:
+        portion = split(need, len(askable))
+        part = held.get(peer)
+        amount = portion.amount
+        if part:
+            amount += part.share.amount
+        wish = Need(amount, portion.tokens)
+        yield Question(peer, wish, holding.duration_s(), part)
+
+
+def _ask_tokens(
+    holding: RateHolding,
+    need: Need,
+    askable: Sequence[str],
+) -> Iterator[Question]:
+    """Ask a few peers for tokens alone, for a short time."""
+    wanted = math.ceil(need.tokens / holding.policy.tokens_per_peer)
+    duration_s = min(holding.policy.tokens_s, holding.duration_s())
+    for peer in askable[:wanted]:
+        portion = split(need, min(wanted, len(askable)))
+        yield Question(peer, portion, duration_s)
