--- a/egretmill/membership/slot_keeper.py
+++ b/egretmill/membership/slot_keeper.py
@@ -16,6 +16,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import random
 import time
 import uuid
@@ -43,6 +44,14 @@
 EMPTY = Row(0, slots.encode_row(slots.SlotRow()))
 
 
+class Progress(enum.Enum):
+    """What one try to write the own slot led to."""
+
+    SETTLED = 'settled'
+    AGAIN = 'again'
+    FAILED = 'failed'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotTiming:
     """Durations in seconds.
@@ -189,7 +198,11 @@
 class SlotKeeper:
     """Acquires, renews and releases the share slot of one host.
 
-    ``timing`` may be replaced while the keeper runs.
+    ``timing`` may be replaced while the keeper runs. ``informed`` tells
+    whether the keeper has read the row since it started: before that, the
+    answer of :meth:`current` says nothing about a slot that an entry program
+    still has from an earlier run of the agent, and the entry may use that
+    slot until its lease ends.
 
     :param clock: monotonic time in seconds, the clock of ``now``.
     """
@@ -210,6 +223,7 @@
         self.timing = timing or SlotTiming()
         self.clock = clock
         self.lease: Lease | None = None
+        self.informed = False
         self.released = False
         self.waiting = False
         self.schedule = Schedule(rng or random.Random())
@@ -242,9 +256,11 @@
             self.check_lease()
             started_at = self.clock()
             tries = TRIES_PER_STEP
-            while tries and not await self.try_once(started_at):
+            progress = Progress.AGAIN
+            while tries and progress is Progress.AGAIN:
+                progress = await self.try_once(started_at)
                 tries -= 1
-            if not tries:
+            if progress is not Progress.SETTLED:
                 self.schedule.back_off(self.clock(), self.timing)
 
     async def release(self) -> Result[None, Failure]:
@@ -276,14 +292,15 @@
         left = row.without([own] if own else [])
         return isinstance(await self.row.put(version, left), Ok)
 
-    async def try_once(self, started_at: float) -> bool:
-        """Read the row and write the own slot; true when settled."""
+    async def try_once(self, started_at: float) -> Progress:
+        """Read the row and write the own slot."""
         if self.released:
-            return True
+            return Progress.SETTLED
         found = await self.row.read()
         if isinstance(found, Err):
-            return False
+            return Progress.FAILED
         version, row = found.ok_value
+        self.informed = True
         self.reconcile(row)
         self.row.prune(version)
         if self.lease and self.lease.sent_at >= started_at:
@@ -306,8 +323,8 @@
         row: slots.SlotRow,
         slot: slots.Slot,
         reason: str,
-    ) -> bool:
-        """Write the own slot; true when the write surely took effect."""
+    ) -> Progress:
+        """Write the own slot; without an answer it must be read back."""
         own = row.of(self.holder)
         kept = row.without([own] if own else [])
         sent_at = self.clock()
@@ -317,7 +334,7 @@
         self.row.remember(slot.attempt_id, Sent(version, sent_at))
         written = await self.row.put(version, kept.with_slot(slot))
         if isinstance(written, Err):
-            return False
+            return Progress.AGAIN
         self.hold(slot, sent_at, reason)
         return self.settled(self.timing.renewal_s())
 
@@ -388,10 +405,10 @@
                 slots=self.layout.count,
             )
 
-    def settled(self, pause_s: float) -> bool:
+    def settled(self, pause_s: float) -> Progress:
         """Set the time of the next step after success."""
         self.schedule.after(self.clock() + pause_s)
-        return True
+        return Progress.SETTLED
 
 
 async def retire_host(
--- /dev/null
+++ b/tests/ledger/test_tickets.py
@@ -0,0 +1,164 @@
+"""A ticket runs at most once and only while the book holds it."""
+
+import collections
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretmill.errors import ErrorKind
+from egretmill.ledger import Ticket, TicketBook, TicketLimits
+from egretmill.wire.messages import StoredAnswer
+
+ANSWER = StoredAnswer(200, (), b'done')
+LIFETIME_S = 10
+
+
+@pytest.fixture
+def book():
+    """Return a small book."""
+    limits = TicketLimits(LIFETIME_S, 3, 2, 100)
+    return TicketBook('host-a', 7, limits)
+
+
+def issue(book, now=0, account='rota'):
+    """Issue a ticket that must not be refused."""
+    return book.issue(account, now, random.Random(1)).ok_value
+
+
+def begin(book, ticket, now=0, account='rota', digest='d1'):
+    """Return the status of a request with a ticket."""
+    return book.begin(ticket, account, digest, now).status
+
+
+def test_ticket_names_its_origin(book):
+    """Guards against a repeat that cannot find the issuing host."""
+    ticket = Ticket.parse(issue(book))
+    assert (ticket.host, ticket.incarnation) == ('host-a', 7)
+    assert str(ticket) == issue(TicketBook('host-a', 7))
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', 'egt1.a.1.1', 'egt1.A.1.1.0123456789abcdef', 'instalment-7'],
+)
+def test_other_keys_are_no_tickets(text):
+    """Guards against a caller's own key treated as a ticket."""
+    assert Ticket.parse(text) is None
+
+
+def test_ticket_runs_once_and_repeats_its_answer(book):
+    """Guards against a second execution."""
+    ticket = issue(book)
+    assert begin(book, ticket) == 'granted'
+    assert begin(book, ticket) == 'in_progress'
+    book.finish(ticket, 'done', ANSWER, 1)
+    assert begin(book, ticket) == 'repeat'
+    assert book.begin(ticket, 'rota', 'd1', 1).answer == ANSWER
+
+
+def test_other_account_or_body_is_a_mismatch(book):
+    """Guards against an answer for another account or request."""
+    ticket = issue(book)
+    assert begin(book, ticket, account='other') == 'mismatch'
+    assert begin(book, ticket) == 'granted'
+    assert begin(book, ticket, digest='d2') == 'mismatch'
+    assert begin(book, ticket, account='other') == 'mismatch'
+
+
+def test_released_ticket_runs_again_and_unknown_does_not(book):
+    """Guards against losing, or repeating, a request."""
+    ticket = issue(book)
+    assert begin(book, ticket) == 'granted'
+    book.finish(ticket, 'released', None, 0)
+    assert begin(book, ticket) == 'granted'
+    book.finish(ticket, 'unknown', None, 0)
+    assert begin(book, ticket) == 'owner_lost'
+
+
+def test_expired_and_foreign_tickets_never_run(book):
+    """Guards against running what another run may have run."""
+    ticket = issue(book)
+    assert begin(book, ticket, now=LIFETIME_S) == 'owner_lost'
+    assert begin(book, 'egt1.host-a.6.1.0000000000000000') == 'owner_lost'
+
+
+def test_running_ticket_outlives_its_lifetime(book):
+    """Guards against forgetting a request that still runs."""
+    ticket = issue(book)
+    assert begin(book, ticket) == 'granted'
+    assert begin(book, ticket, now=99) == 'in_progress'
+    book.finish(ticket, 'done', ANSWER, 100)
+    assert begin(book, ticket, now=109) == 'repeat'
+    assert begin(book, ticket, now=110) == 'owner_lost'
+
+
+def test_tickets_are_bounded_in_total_and_per_account(book):
+    """Guards against one account that uses up the book."""
+    issue(book)
+    issue(book)
+    refused = book.issue('rota', 0, random.Random(1))
+    assert refused.err_value.kind is ErrorKind.OVERLOADED
+    issue(book, account='other')
+    refused = book.issue('third', 0, random.Random(1))
+    assert refused.err_value.kind is ErrorKind.OVERLOADED
+    issue(book, now=LIFETIME_S)
+
+
+def test_answers_are_bounded(book):
+    """Guards against memory that grows with the answers."""
+    tickets = [issue(book), issue(book)]
+    started = [begin(book, ticket) for ticket in tickets]
+    assert started == ['granted', 'granted']
+    for ticket in tickets:
+        book.finish(ticket, 'done', StoredAnswer(200, (), bytes(60)), 0)
+    statuses = [begin(book, name) for name in tickets]
+    assert statuses == ['not_stored', 'repeat']
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('issue', 'begin', 'done', 'unknown', 'released')),
+        st.integers(0, 5),
+        st.sampled_from(('rota', 'other')),
+        st.sampled_from((0, 0, 1, 6)),
+    ),
+    max_size=40,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(STEPS)
+def test_no_order_of_events_runs_a_ticket_twice(steps):
+    """Guards against any order of expiry, repeats and ends that does."""
+    limits = TicketLimits(LIFETIME_S, 4, 3, 120)
+    book = TicketBook('host-a', 1, limits)
+    rng = random.Random(5)
+    tickets = ['egt1.host-a.1.99.0000000000000000']
+    grants = collections.Counter()
+    answers = {}
+    now = 0
+    for action, number, account, passed in steps:
+        now += passed
+        ticket = tickets[number % len(tickets)]
+        if action == 'issue':
+            tickets.extend(
+                [book.issue(account, now, rng).unwrap_or(tickets[0])],
+            )
+        elif action == 'begin':
+            decision = book.begin(ticket, account, 'd1', now)
+            grants[ticket] += decision.status == 'granted'
+            if decision.status == 'repeat':
+                assert decision.answer == answers[ticket]
+        elif ticket in book.running:
+            answer = StoredAnswer(200, (), f'{ticket}'.encode())
+            book.finish(ticket, action, answer, now)
+            answers[ticket] = answer
+            grants[ticket] -= action == 'released'
+        held = len(book.idle) + len(book.running)
+        assert held <= limits.tickets
+        assert book.answer_bytes <= limits.answer_bytes
+        assert sum(book.per_account.values()) == held
+        assert all(count <= 1 for count in grants.values())
+    assert tickets[0] not in +grants
