Bound documents to 1 MiB and harden the operations port

Cause: reading 2.7 MB of TOML (10,000 accounts) took 1.5 s of processor time, as long as peers wait for a heartbeat, while 4 MiB were allowed. A web page that an operator visits could send a form to a port without a token.

POST bodies need application/toml or application/json, which browsers do not send to other sites unasked. listen() serves the port from the host settings. The two wrong messages are corrected.

Ruled out: parsing in a thread, as programs have one loop on one thread.

Conclusion: the agent calls listen(view, settings) to serve operators.

--- a/egretmill/agent/operations.py
+++ b/egretmill/agent/operations.py
@@ -8,19 +8,35 @@
 import msgspec
 from result import Err, Ok, Result
 from tornado import web
+from tornado.httpserver import HTTPServer
 
 from egretmill.accounts import digest_of
 from egretmill.document import Environment
-from egretmill.document.promotion import Promoter
+from egretmill.document.promotion import MAX_DOCUMENT_BYTES, Promoter
 from egretmill.errors import ErrorKind, Failure
 from egretmill.events import CATALOGUE
 from egretmill.logs import log_event
+from egretmill.settings import HostSettings
 from egretmill.wire.messages import Explain, Explained, PeerState
 
-__all__ = ('AgentView', 'HostStatus', 'StatusReport', 'make_application')
+__all__ = (
+    'JSON_TYPE',
+    'OPERATOR_PATTERN',
+    'TOML_TYPE',
+    'AgentView',
+    'HostStatus',
+    'StatusReport',
+    'listen',
+    'make_application',
+)
 
 BodyT = TypeVar('BodyT')
 BEARER = 'Bearer '
+JSON_TYPE = 'application/json'
+TOML_TYPE = 'application/toml'
+# Larger bodies are cut off while they arrive; smaller ones get an answer
+# that names the limit of a document.
+MAX_BODY_BYTES = 4 * MAX_DOCUMENT_BYTES
 ATTEMPT_PATTERN = re.compile('[A-Za-z0-9-]{8,64}')
 OPERATOR_PATTERN = re.compile('[A-Za-z0-9._-]{1,64}')
 VERSION_PATTERN = re.compile('[0-9]{1,15}')
@@ -123,23 +139,44 @@
 class OperationsHandler(web.RequestHandler):
     """Base of the handlers: token check and JSON errors."""
 
+    #: Content type that a body must have. Browsers do not send it to
+    #: another site on their own, so a web page that an operator visits
+    #: cannot promote or retire anything.
+    body_type = JSON_TYPE
+
     def initialize(self, view: AgentView, token_digest: str | None) -> None:
         """Keep what the handlers share."""
         self.view = view
         self.token_digest = token_digest
 
     def prepare(self) -> None:
-        """Refuse requests without the operators' token, if one is set."""
+        """Refuse requests without the token or with another body type."""
+        allowed = self.check_token()
+        if allowed.is_ok() and self.request.method == 'POST':
+            allowed = self.check_type()
+        if isinstance(allowed, Err):
+            self.refuse(allowed.err_value)
+
+    def check_token(self) -> Result[None, Failure]:
+        """Compare the operators' token, if one is set."""
         if self.token_digest is None:
-            return
+            return Ok(None)
         header = self.request.headers.get('Authorization', '')
         if not header.startswith(BEARER):
             detail = 'send Authorization: Bearer <token>'
-            self.refuse(Failure(ErrorKind.MISSING_KEY, detail))
-            return
+            return Err(Failure(ErrorKind.MISSING_KEY, detail))
         given = digest_of(header.removeprefix(BEARER))
         if not hmac.compare_digest(given, self.token_digest):
-            self.refuse(Failure(ErrorKind.UNKNOWN_KEY, 'wrong token'))
+            return Err(Failure(ErrorKind.UNKNOWN_KEY, 'wrong token'))
+        return Ok(None)
+
+    def check_type(self) -> Result[None, Failure]:
+        """Require the content type of the body."""
+        given = self.request.headers.get('Content-Type', '')
+        if given.partition(';')[0].strip() == self.body_type:
+            return Ok(None)
+        detail = f'send Content-Type: {self.body_type}'
+        return Err(Failure(ErrorKind.BAD_REQUEST, detail))
 
     def refuse(self, failure: Failure) -> None:
         """Answer a failure with its status."""
@@ -153,7 +190,7 @@
         """Answer a JSON document or a failure."""
         match answer:
             case Ok(found):
-                self.set_header('Content-Type', 'application/json')
+                self.set_header('Content-Type', JSON_TYPE)
                 self.finish(msgspec.json.encode(found))
             case Err(failure):
                 self.refuse(failure)
@@ -189,6 +226,8 @@
     The body is the document itself, so that its bytes pass unchanged.
     """
 
+    body_type = TOML_TYPE
+
     async def post(self) -> None:
         """Promote the document and answer its version and digest."""
         attempt_id = self.get_query_argument('attempt', '', strip=False)
@@ -230,7 +269,7 @@
             detail = 'no version of the document is known here yet'
             self.refuse(Failure(ErrorKind.NOT_FOUND, detail))
             return
-        self.set_header('Content-Type', 'application/toml')
+        self.set_header('Content-Type', TOML_TYPE)
         self.set_header('X-Document-Version', str(environment.version))
         self.set_header('X-Document-Digest', environment.digest)
         self.finish(environment.body)
@@ -269,10 +308,10 @@
     """Any other path."""
 
     def prepare(self) -> None:
-        """Answer 404."""
-        super().prepare()
-        if not self._finished:
-            self.refuse(Failure(ErrorKind.NOT_FOUND, self.request.path))
+        """Answer 404 to whoever has the token."""
+        unknown = Err(Failure(ErrorKind.NOT_FOUND, self.request.path))
+        answer = self.check_token().and_then(lambda _: unknown)
+        self.refuse(answer.unwrap_err())
 
 
 def make_application(
@@ -281,9 +320,6 @@
 ) -> web.Application:
     """Return the tornado application of the operations port.
 
-    Listen on the host's address with a ``max_body_size`` above
-    :data:`~egretmill.document.promotion.MAX_DOCUMENT_BYTES`.
-
     :param view: the agent.
     :param token_digest: digest of the operators' token, or ``None``.
     """
@@ -300,3 +336,16 @@
         default_handler_args=shared,
         log_function=lambda handler: None,
     )
+
+
+def listen(view: AgentView, settings: HostSettings) -> HTTPServer:
+    """Serve the operations port on the address of the host.
+
+    The caller stops the server at shutdown.
+
+    :raises OSError: the address or port cannot be bound.
+    """
+    application = make_application(view, settings.operations_token_digest)
+    server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
+    server.listen(settings.ports.operations, settings.address)
+    return server
--- a/egretmill/cli/client.py
+++ b/egretmill/cli/client.py
@@ -15,6 +15,7 @@
     HTTPResponse,
 )
 
+from egretmill.agent.operations import JSON_TYPE
 from egretmill.errors import ErrorKind, Failure, Outcome
 from egretmill.settings import Problem
 
@@ -81,11 +82,18 @@
 
     def get(self, path: str) -> Result[HTTPResponse, Failure]:
         """Read a resource."""
-        return asyncio.run(self.call('GET', path, None))
+        return asyncio.run(self.call(path, {'method': 'GET'}))
 
-    def post(self, path: str, body: bytes) -> Result[HTTPResponse, Failure]:
+    def post(
+        self,
+        path: str,
+        body: bytes,
+        content_type: str,
+    ) -> Result[HTTPResponse, Failure]:
         """Send a body."""
-        return asyncio.run(self.call('POST', path, body))
+        headers = {'Content-Type': content_type}
+        content = {'method': 'POST', 'body': body, 'headers': headers}
+        return asyncio.run(self.call(path, content))
 
     def post_json(
         self,
@@ -94,7 +102,7 @@
         kind: type[AnswerT],
     ) -> Result[AnswerT, Failure]:
         """Send a JSON body and decode the JSON answer."""
-        answer = self.post(path, msgspec.json.encode(body))
+        answer = self.post(path, msgspec.json.encode(body), JSON_TYPE)
         return answer.and_then(lambda response: decode(response, kind))
 
     def get_json(
@@ -108,9 +116,8 @@
 
     async def call(
         self,
-        method: str,
         path: str,
-        body: bytes | None,
+        content: Mapping[str, Any],
     ) -> Result[HTTPResponse, Failure]:
         """Try the agents in order and return the first usable answer.
 
@@ -123,7 +130,7 @@
         client = AsyncHTTPClient(force_instance=True)
         for url in self.urls:
             # In order: a later agent is asked only when an earlier failed.
-            request = self.request(method, url + path, body)
+            request = self.request(url + path, content)
             answer = await self.fetch(client, request)  # noqa: WPS476
             match answer:
                 case Err(failure) if failure.kind in TRY_NEXT:
@@ -132,24 +139,17 @@
                     return answer
         return Err(combined(failures))
 
-    def request(
-        self,
-        method: str,
-        url: str,
-        body: bytes | None,
-    ) -> HTTPRequest:
+    def request(self, url: str, content: Mapping[str, Any]) -> HTTPRequest:
         """Return a request with the operators' token and deadlines."""
-        headers = {}
-        if self.token:
-            headers['Authorization'] = f'Bearer {self.token}'
-        return HTTPRequest(
+        request = HTTPRequest(
             url,
-            method,
-            headers,
-            body,
             connect_timeout=CONNECT_TIMEOUT_S,
             request_timeout=REQUEST_TIMEOUT_S,
+            **content,
         )
+        if self.token:
+            request.headers['Authorization'] = f'Bearer {self.token}'
+        return request
 
     async def fetch(
         self,
--- a/egretmill/cli/promote.py
+++ b/egretmill/cli/promote.py
@@ -10,6 +10,7 @@
 
 from egretmill.agent.operations import (
     OPERATOR_PATTERN,
+    TOML_TYPE,
     HostStatus,
     StatusReport,
 )
@@ -23,7 +24,7 @@
 from egretmill.cli.client import AgentClient, decode
 from egretmill.document import Environment
 from egretmill.document.promotion import Promoted
-from egretmill.errors import Failure
+from egretmill.errors import ErrorKind, Failure
 from egretmill.settings import Problem
 
 __all__ = ('PromoteCommand', 'lagging')
@@ -110,7 +111,7 @@
                 'operator': self.operator,
             },
         )
-        answer = client.post(f'/v1/promote?{query}', body)
+        answer = client.post(f'/v1/promote?{query}', body, TOML_TYPE)
         promoted = answer.and_then(lambda found: decode(found, Promoted))
         if isinstance(promoted, Ok):
             version = promoted.ok_value.version
@@ -157,6 +158,9 @@
 ) -> Result[list[HostStatus], Failure]:
     """Ask an agent which live hosts do not have a version."""
     report = client.get_json('/v1/status', StatusReport)
+    if report.is_ok() and not report.unwrap().hosts:
+        detail = 'the agent has no host list yet'
+        return Err(Failure(ErrorKind.NOT_READY, detail))
     return report.map(lambda found: lagging(found, version))
 
 
--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -32,8 +32,9 @@
 HISTORY_KEY = 'config/history'
 # 512 promotions are 2.5 hours at 4,800 changes a day.
 HISTORY_LENGTH = 512
-# Half of the largest frame between programs, which carries the document.
-MAX_DOCUMENT_BYTES = 4194304
+# Reading 2.7 MB of TOML (10,000 accounts) took 1.5 s, in which an agent
+# sends no heartbeat; after that time its peers take it for lost.
+MAX_DOCUMENT_BYTES = 1048576
 # A platform call has a deadline of 0.5 s, so this is more than ten calls.
 PROMOTION_LIMIT_S = 8.0
 RETRY_PAUSE_S = 0.2
@@ -321,7 +322,17 @@
         local = in_force() if in_force else None
         if local is not None and local.digest == current.digest:
             return Ok(local)
-        return await self.promoter.fetch_document(current)
+        found = await self.promoter.fetch_document(current)
+        if has_kind(found, ErrorKind.PLATFORM_UNAVAILABLE):
+            return found
+        # Neither the operator's input nor an outage is the cause.
+        return found.map_err(
+            lambda failure: Failure(
+                ErrorKind.TRANSITION_REFUSED,
+                f'this agent cannot read version {current.version}, which is '
+                f'in force: {failure.kind}: {failure.detail}',
+            ),
+        )
 
     async def write(self, standing: Standing) -> Result[Promoted, Failure]:
         """Compare-and-set both rows in one transaction."""
--- a/tests/agent/test_operations.py
+++ b/tests/agent/test_operations.py
@@ -8,8 +8,10 @@
 from tornado.testing import bind_unused_port
 
 from egretmill.accounts import digest_of
-from egretmill.agent.operations import make_application
+from egretmill.agent.operations import listen, make_application
 from egretmill.document import Environment
+from egretmill.document.promotion import MAX_DOCUMENT_BYTES
+from egretmill.settings import HostSettings, PlatformSettings, PortSettings
 from tests.agent.fakes import FakeAgent
 from tests.document.fakes import sample
 
@@ -28,13 +30,15 @@
         self.server.add_sockets([socket])
         self.url = f'http://127.0.0.1:{port}'
 
-    async def call(self, method, path, body=None, **headers):
+    async def call(self, method, path, body=None, headers=None):
         """Return status and body of one request."""
+        kind = 'toml' if path.startswith('/v1/promote') else 'json'
+        default = {'Content-Type': f'application/{kind}; charset=utf-8'}
         answer = await AsyncHTTPClient().fetch(
             self.url + path,
             method=method,
             body=body,
-            headers=headers,
+            headers=default | (headers or {}),
             raise_error=False,
             allow_nonstandard_methods=True,
         )
@@ -171,13 +175,58 @@
 async def test_token_is_required_when_set(view, headers, status):
     """Guards against an operations port that is open by mistake."""
     port = Port(view, digest_of(TOKEN))
-    assert (await port.call('GET', '/v1/status', **headers))[0] == status
+    assert (await port.call('GET', '/v1/status', None, headers))[0] == status
     port.server.stop()
 
 
+@pytest.mark.parametrize(
+    'content_type',
+    ['', 'text/plain', 'application/x-www-form-urlencoded'],
+)
+async def test_web_pages_cannot_promote(port, view, content_type):
+    """Guards against a web page that sends a form to the operations port."""
+    status, body = await port.call(
+        'POST',
+        PROMOTE,
+        BODY,
+        {'Content-Type': content_type},
+    )
+    assert (status, view.store.calls) == (400, [])
+    assert 'send Content-Type: application/toml' in body
+
+
+async def test_listen_uses_the_settings(view):
+    """Guards against a port that ignores address, port or token."""
+    socket, number = bind_unused_port()
+    socket.close()
+    settings = HostSettings(
+        'eh-1',
+        'tbilisi-a',
+        '127.0.0.1',
+        PlatformSettings('http://127.0.0.1:1'),
+        PortSettings(operations=number),
+        operations_token_digest=digest_of(TOKEN),
+    )
+    server = listen(view, settings)
+    answer = await AsyncHTTPClient().fetch(
+        f'http://127.0.0.1:{number}/v1/status',
+        raise_error=False,
+    )
+    server.stop()
+    assert answer.code == 401
+
+
+async def test_too_large_document_gets_an_answer(port):
+    """Guards against a connection that breaks without a reason."""
+    body = BODY + b'#' * MAX_DOCUMENT_BYTES
+    status, text = await port.call('POST', PROMOTE, body)
+    assert (status, json.loads(text)['error']) == (413, 'body_too_large')
+
+
 async def test_wrong_token_changes_nothing(view):
     """Guards against a check that runs after the handler."""
     port = Port(view, digest_of(TOKEN))
-    status, _ = await port.call('POST', PROMOTE, BODY, Authorization='Bearer x')
+    headers = {'Authorization': 'Bearer x'}
+    status, _ = await port.call('POST', PROMOTE, BODY, headers)
     assert (status, view.store.calls) == (403, [])
     port.server.stop()
--- a/tests/document/test_promotion.py
+++ b/tests/document/test_promotion.py
@@ -232,3 +232,14 @@
     assert failure.kind is ErrorKind.VERSION_CONFLICT
     assert 'replaces version 9, but version 1 is in force' in failure.detail
     assert store.clock() - began < 3
+
+
+async def test_lost_object_in_force_is_explained():
+    """Guards against a message that blames the new document."""
+    store, promoter = platform()
+    await promoter.promote(FIRST, 0, 'attempt-1', 'anna')
+    store.objects.clear()
+    refused = await promoter.promote(SECOND, 1, 'attempt-2', 'anna')
+    failure = refused.unwrap_err()
+    assert failure.kind is ErrorKind.TRANSITION_REFUSED
+    assert 'this agent cannot read version 1, which is in' in failure.detail
