Refuse an attempt id that already made another version

Change: an attempt id found in the history for another version is a conflict that names that version. The digest is checked in the tool and in the agent, and the wrong text is not shown.

Ruled out: ignoring the number of a repeat and answering with the version that the attempt made, since the operator asked for something else.

Conclusion: one attempt id stands for one document and one version.

--- a/egretmill/agent/operations.py
+++ b/egretmill/agent/operations.py
@@ -3,7 +3,7 @@
 import hmac
 import re
 from collections.abc import Sequence
-from typing import Any, Protocol, TypeVar
+from typing import Annotated, Any, Protocol, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -31,6 +31,10 @@
 )
 
 BodyT = TypeVar('BodyT')
+OptionalDigest = Annotated[
+    str,
+    msgspec.Meta(pattern=r'^(sha256:[0-9a-f]{64})?\Z'),
+]
 BEARER = 'Bearer '
 JSON_TYPE = 'application/json'
 TOML_TYPE = 'application/toml'
@@ -127,7 +131,7 @@
 
     method: str
     path: str
-    key_digest: str = ''
+    key_digest: OptionalDigest = ''
 
 
 class RetireBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/egretmill/cli/explain.py
+++ b/egretmill/cli/explain.py
@@ -1,13 +1,22 @@
 """``egretmill explain``: how a request would be decided."""
 
+import re
+
 import msgspec
 from cleo.helpers import argument, option
 from result import Err
 
-from egretmill.cli.base import AGENT_OPTION, EXIT_OK, OperatorCommand
+from egretmill.cli.base import (
+    AGENT_OPTION,
+    EXIT_INVALID,
+    EXIT_OK,
+    OperatorCommand,
+)
 
 __all__ = ('ExplainCommand',)
 
+DIGEST_PATTERN = re.compile('(sha256:[0-9a-f]{64})?')
+
 
 class ExplanationBody(msgspec.Struct, frozen=True):
     """Answer to ``POST /v1/explain``."""
@@ -43,6 +52,10 @@
             'path': self.argument('path'),
             'key_digest': self.option('key-digest') or '',
         }
+        if not DIGEST_PATTERN.fullmatch(question['key_digest']):
+            # The text is not shown: it may be the key itself.
+            self.complain('--key-digest: give what "egretmill key digest" says')
+            return EXIT_INVALID
         answer = client.ok_value.post_json(
             '/v1/explain',
             question,
--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -113,6 +113,12 @@
         found = (row for row in self.history.versions if row.version == version)
         return next(found, None)
 
+    def promoted_by(self, attempt_id: str) -> CurrentVersion | None:
+        """Return the version that an attempt made, as far as is known."""
+        known = (self.current, *reversed(self.history.versions))
+        found = (row for row in known if row and row.attempt_id == attempt_id)
+        return next(found, None)
+
 
 class Promoter:
     """Promotes documents through one host's agent.
@@ -225,6 +231,9 @@
         if isinstance(read, Err):
             return read
         standing = read.ok_value
+        earlier = standing.promoted_by(self.attempt.attempt_id)
+        if earlier and earlier.version != self.attempt.entry.version:
+            return Err(reused(earlier))
         if standing.version != self.attempt.expected_version:
             return self.decide(standing)
         prepared = await self.prepare(standing.current)
@@ -271,11 +280,7 @@
         if made.attempt_id != entry.attempt_id:
             return Err(conflict(self.attempt, standing))
         if made.digest != entry.digest:
-            detail = (
-                f'attempt {entry.attempt_id} promoted another document as '
-                f'version {entry.version}; use a new attempt id'
-            )
-            return Err(Failure(ErrorKind.VERSION_CONFLICT, detail))
+            return Err(reused(made))
         return Ok(Promoted(made.version, made.digest))
 
     async def prepare(
@@ -386,6 +391,15 @@
     return '\n'.join(str(problem) for problem in problems)
 
 
+def reused(made: CurrentVersion) -> Failure:
+    """Return the failure of an attempt id that made something else."""
+    detail = (
+        f'attempt {made.attempt_id} promoted version {made.version} with '
+        f'digest {made.digest}; use a new attempt id for anything else'
+    )
+    return Failure(ErrorKind.VERSION_CONFLICT, detail)
+
+
 def conflict(attempt: Attempt, standing: Standing) -> Failure:
     """Return the failure of an attempt that does not replace the newest."""
     asked = attempt.expected_version
--- a/tests/document/test_promotion.py
+++ b/tests/document/test_promotion.py
@@ -86,6 +86,30 @@
     assert 'use a new attempt id' in failure.detail
 
 
+async def test_attempt_id_of_another_version_is_refused():
+    """Guards against a repeat with another number that promotes twice."""
+    store, promoter = platform()
+    await promoter.promote(FIRST, 0, 'attempt-1', 'anna')
+    again = await promoter.promote(FIRST, 1, 'attempt-1', 'anna')
+    assert again.unwrap_err().kind is ErrorKind.VERSION_CONFLICT
+    await promoter.promote(SECOND, 1, 'attempt-2', 'anna')
+    again = await promoter.promote(FIRST, 2, 'attempt-1', 'anna')
+    assert 'attempt-1 promoted version 1' in again.unwrap_err().detail
+    assert (await promoter.fetch_current()).unwrap().version == 2
+
+
+async def test_same_attempt_through_two_agents():
+    """Guards against a second effect while the first call still runs."""
+    store, promoter = platform(Fault('put rows', 'lost', times=1))
+    other = Promoter(store, 'eh-2', store.clock, sleep=store.clock.sleep)
+    answers = await asyncio.gather(
+        promoter.promote(FIRST, 0, 'attempt-1', 'anna'),
+        other.promote(FIRST, 0, 'attempt-1', 'anna'),
+    )
+    assert [answer.unwrap().version for answer in answers] == [1, 1]
+    assert store.rows[HISTORY_KEY].version == 1
+
+
 async def test_expired_history_is_said():
     """Guards against a conflict that hides an own earlier success."""
     store, promoter = platform()
