--- a/egretmill/routing/health.py
+++ b/egretmill/routing/health.py
@@ -10,10 +10,10 @@
 FAILURE_LIMIT = 2
 #: First and longest time without probes; it doubles with each failed probe.
 FIRST_BACKOFF_S = 0.5
-LONGEST_BACKOFF_S = 15.0
+LONGEST_BACKOFF_S = 8.0
 #: Largest exponent of the doubling, so that the power stays small.
 BACKOFF_STEPS = 5
-#: Weight of the past in the mean after this time is 1/e.
+#: Weight of earlier samples after this time is 1/e.
 LATENCY_DECAY_S = 5.0
 #: Share of one sample in the mean; the slow tail is averaged over requests.
 SAMPLE_WEIGHT = 0.1
@@ -90,12 +90,25 @@
     peak_s: float = 0
     updated_at: float = 0
 
+    def mean_at(self, now: float) -> float:
+        """Return the mean, lower the longer no sample has come.
+
+        Without this, an upstream that was slow once would get no request
+        that could show that it has recovered.
+        """
+        return self.mean_s * self._kept(now)
+
+    def peak_at(self, now: float) -> float:
+        """Return the peak, lower the longer no sample has come."""
+        return self.peak_s * self._kept(now)
+
     def add(self, sample_s: float, now: float) -> None:
         """Add a sample; the peak rises at once and falls slowly."""
-        kept = math.exp(-max(now - self.updated_at, 0) / LATENCY_DECAY_S)
+        kept = self._kept(now)
+        weight = 1 - (1 - SAMPLE_WEIGHT) * kept
         if not self.mean_s:
-            self.mean_s = sample_s
-        self.mean_s += SAMPLE_WEIGHT * (sample_s - self.mean_s)
+            weight = 1
+        self.mean_s += weight * (sample_s - self.mean_s)
         kept_peak_s = self.peak_s * kept + sample_s * (1 - kept)
         self.peak_s = max(sample_s, kept_peak_s)
         self.updated_at = now
@@ -105,6 +118,9 @@
         if bound_s > self.mean_s:
             self.add(bound_s, now)
 
+    def _kept(self, now: float) -> float:
+        return math.exp(-max(now - self.updated_at, 0) / LATENCY_DECAY_S)
+
 
 @dataclasses.dataclass(slots=True)
 class Ramp:
@@ -115,6 +131,8 @@
 
     def level_at(self, now: float) -> float:
         """Return the level, between 0 and 1."""
+        if self.level >= 1:
+            return 1
         risen = max(now - self.since, 0) / RAMP_S
         return min(1, self.level + risen)
 
--- a/egretmill/routing/policies.py
+++ b/egretmill/routing/policies.py
@@ -87,7 +87,7 @@
 
     def cost(self, view: UpstreamView, now: float) -> float:
         """Return the expected time to work off the own requests."""
-        latency_s = view.latency.peak_s or UNKNOWN_LATENCY_S
+        latency_s = view.latency.peak_at(now) or UNKNOWN_LATENCY_S
         return latency_s * (view.in_flight + 1)
 
 
@@ -109,16 +109,26 @@
         rng: random.Random,
     ) -> UpstreamView:
         """Return the first view with the lowest cost."""
-        known = [view.latency.mean_s for view in views if view.latency.mean_s]
+        means = [view.latency.mean_at(now) for view in views]
+        known = [mean_s for mean_s in means if mean_s]
         usual_s = statistics.median_low(known) if known else 0
-        return min(views, key=lambda view: _load_cost(view, usual_s, now))
-
-
-def _load_cost(view: UpstreamView, usual_s: float, now: float) -> float:
-    requests = view.load(now) + 1
-    if usual_s and view.latency.mean_s > SLOW_FACTOR * usual_s:
-        requests *= view.latency.mean_s / usual_s
-    return round(requests) / max(view.record.slots, 1)
+        costs = [
+            _load_cost(view.load(now), view.record.slots, mean_s, usual_s)
+            for view, mean_s in zip(views, means, strict=True)
+        ]
+        return views[costs.index(min(costs))]
+
+
+def _load_cost(
+    load: float,
+    slots: int,
+    mean_s: float,
+    usual_s: float,
+) -> float:
+    requests = load + 1
+    if usual_s and mean_s > SLOW_FACTOR * usual_s:
+        requests *= mean_s / usual_s
+    return round(requests) / max(slots, 1)
 
 
 #: All policies by their declared name.
--- a/egretmill/routing/router.py
+++ b/egretmill/routing/router.py
@@ -61,6 +61,8 @@
         self.policy = policy
         self.rng = rng
         self.rotation = rotation
+        self.environment: Environment | None = None
+        self.orders: dict[str, list[SiteRow]] = {}
 
     def choose(
         self,
@@ -79,7 +81,7 @@
         if self._retry_meets_shedding(exclude, now):
             detail = 'no retry while the whole site sheds load'
             return Err(Failure(ErrorKind.UPSTREAM_SHED, detail))
-        order = site_order(environment, service, self.host_domain)
+        order = self._order(service, environment)
         reader = self._reader(service, environment, limits, now, exclude)
         seen: list[SiteView] = []
         site = self._choose_site(order, reader, seen)
@@ -110,7 +112,7 @@
 
         The state of the random numbers is left as it was.
         """
-        order = site_order(environment, service, self.host_domain)
+        order = self._order(service, environment)
         reader = self._reader(service, environment, limits, now, exclude)
         lines = []
         for tier, name, region in order:
@@ -123,6 +125,20 @@
             return (*lines, f'refused: {failure.kind}: {failure.detail}')
         return (*lines, f'chosen: {chosen.ok_value}')
 
+    def _order(
+        self,
+        service: str,
+        environment: Environment,
+    ) -> list[SiteRow]:
+        # Computed once for each version of the document.
+        if environment is not self.environment:
+            self.environment = environment
+            self.orders.clear()
+        if service not in self.orders:
+            found = site_order(environment, service, self.host_domain)
+            self.orders[service] = found
+        return self.orders[service]
+
     def _reader(
         self,
         service: str,
@@ -131,7 +147,7 @@
         now: float,
         exclude: frozenset[str],
     ) -> SiteReader:
-        order = site_order(environment, service, self.host_domain)
+        order = self._order(service, environment)
         return SiteReader(
             self.table,
             limits,
--- a/egretmill/routing/sites.py
+++ b/egretmill/routing/sites.py
@@ -107,6 +107,7 @@
     def read(self, name: str, region: str, tier: Tier) -> SiteView:
         """Return the view of a site."""
         known = self.table.at(self.service, name)
+        weights = [view.weight(self.now) for view in known]
         running = sum(view.in_flight for view in known)
         free = self.limits.free_slots(self.service, name, self.now)
         site = SiteView(
@@ -115,10 +116,13 @@
             tier,
             free,
             running,
-            self._capacity(known, free + running),
-            [view for view in known if self.takes(view)],
+            _capacity(known, sum(weights), free + running),
+            list(filter(self.takes, known)),
         )
-        site.verdict = self._verdict(site, known)
+        in_use = [
+            view for view, weight in zip(known, weights, strict=True) if weight
+        ]
+        site.verdict = self._verdict(site, in_use)
         return site
 
     def takes(self, view: UpstreamView) -> bool:
@@ -128,25 +132,11 @@
         verdict = view.verdict(self.now)
         return verdict in {Verdict.USABLE, Verdict.STALLED}
 
-    def _capacity(self, known: list[UpstreamView], share: int) -> int:
-        listed = sum(
-            view.record.slots
-            for view in known
-            if not view.drains & SHARED_SOURCES
-        )
-        usable = sum(view.weight(self.now) for view in known)
-        if not listed:
-            return 0
-        # One request must always be possible, also as the probe of the
-        # only upstream.
-        return max(1, int(share * usable / listed))
-
     def _verdict(
         self,
         site: SiteView,
-        known: list[UpstreamView],
+        in_use: list[UpstreamView],
     ) -> SiteVerdict:
-        in_use = [view for view in known if view.weight(self.now)]
         if in_use and all(view.sheds(self.now) for view in in_use):
             return SiteVerdict.SHEDS
         if not site.views:
@@ -173,6 +163,17 @@
         return SiteVerdict.LINK_BUDGET
 
 
+def _capacity(known: list[UpstreamView], usable: float, share: int) -> int:
+    listed = sum(
+        view.record.slots for view in known if not view.drains & SHARED_SOURCES
+    )
+    if not listed:
+        return 0
+    # One request must always be possible, also as the probe of the only
+    # upstream.
+    return max(1, int(share * usable / listed))
+
+
 def site_order(
     environment: Environment,
     service: str,
--- a/egretmill/routing/view.py
+++ b/egretmill/routing/view.py
@@ -218,11 +218,13 @@
             TIMEOUT_EVIDENCE_S,
             TIMEOUT_EVIDENCE_FACTOR * self.latency.mean_s,
         )
-        self.latency.add_bound(latency_s, now)
+        # A timeout that counts as a failure stays out of the mean. It would
+        # raise the bound until no timeout counts.
         if latency_s >= evidence_s:
             self.health.fail(now, certain=False)
-        else:
-            self.health.cancel()
+            return
+        self.latency.add_bound(latency_s, now)
+        self.health.cancel()
 
     def _deny_drain(self, now: float, *, after_gap: bool) -> None:
         # A report alone does not end an announced drain, because it can be
--- /dev/null
+++ b/tests/routing/test_retries.py
@@ -0,0 +1,45 @@
+"""Retry budget."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretmill.routing import RetryBudget
+from egretmill.routing.retries import WINDOW_S
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 0.7), st.integers(0, 3)),
+        min_size=1,
+        max_size=200,
+    ),
+)
+def test_retries_stay_under_a_tenth_of_requests(steps):
+    """Guards against retries that multiply load during a failure."""
+    budget = RetryBudget()
+    now = 0.0
+    requests = []
+    retries = []
+    for gap_s, asked in steps:
+        now += gap_s
+        budget.record('board', now)
+        requests.append(now)
+        for _ in range(asked):
+            if not budget.allows('board', now):
+                continue
+            retries.append(now)
+            # The window ends at a whole second, so it has 9 to 10 s.
+            recent = [at for at in requests if at > now - WINDOW_S]
+            spent = [at for at in retries if at > now - WINDOW_S + 1]
+            assert len(spent) <= 0.1 * len(recent)
+
+
+def test_services_have_separate_budgets():
+    """Guards against one failing service that uses another's budget."""
+    budget = RetryBudget()
+    for _ in range(20):
+        budget.record('board', 1)
+    assert not budget.allows('ledger', 1)
+    assert [budget.allows('board', 1) for _ in range(3)] == [True, True, False]
+    assert not budget.allows('board', 30)
--- /dev/null
+++ b/tests/routing/test_upstreams.py
@@ -0,0 +1,190 @@
+"""Views of upstreams: failures, drains, reports, ramps."""
+
+import pytest
+
+from egretmill.routing import Observation, UpstreamTable
+from egretmill.routing.view import DrainSource, Verdict
+from tests.routing import fleet
+
+NAME = 'site-n1-0'
+
+
+@pytest.fixture
+def table() -> UpstreamTable:
+    """Return a table that knows all upstreams since time 0."""
+    known = UpstreamTable()
+    known.apply(fleet.environment(), fleet.records(), 0)
+    return known
+
+
+def observe(table, kind, now, latency_s=0.1, name=NAME):
+    """Send one request and end it."""
+    table.begin(name, now)
+    table.finish(name, Observation(latency_s, kind), now)
+
+
+def verdict(table, now, name=NAME):
+    """Return the verdict on an upstream."""
+    return table.views[name].verdict(now)
+
+
+def test_refused_connection_leaves_out_until_a_probe_succeeds(table):
+    """Guards against requests to a dead upstream, and against no return."""
+    observe(table, 'refused', 1)
+    assert verdict(table, 1.4) == Verdict.LEFT_OUT
+    assert verdict(table, 1.5) == Verdict.USABLE
+    table.begin(NAME, 1.5)
+    assert verdict(table, 1.6) == Verdict.PROBING
+    table.finish(NAME, Observation(0.1, 'refused'), 1.6)
+    assert verdict(table, 2.5) == Verdict.LEFT_OUT
+    observe(table, 'ok', 2.6)
+    assert verdict(table, 2.6) == Verdict.USABLE
+    assert table.views[NAME].limit(2.6) == 1
+    assert table.views[NAME].limit(20) == 4
+
+
+def test_timeout_of_a_short_deadline_is_no_failure(table):
+    """Guards against impatient callers who take healthy upstreams out."""
+    for now in range(1, 20):
+        observe(table, 'timeout', now, latency_s=0.05)
+    assert verdict(table, 20) == Verdict.USABLE
+
+
+def test_repeated_timeouts_stay_evidence(table):
+    """Guards against a mean that rises until no timeout counts."""
+    observe(table, 'ok', 1)
+    probes = 0
+    for tick in range(20, 400):
+        if verdict(table, tick / 10) == Verdict.USABLE:
+            observe(table, 'timeout', tick / 10, latency_s=1)
+            probes += 1
+    assert probes <= 10
+
+
+def test_silent_upstream_stalls_before_its_timeouts(table):
+    """Guards against all slots bound to a connection without answers."""
+    observe(table, 'ok', 1)
+    table.begin(NAME, 2)
+    assert verdict(table, 2.9) == Verdict.USABLE
+    assert verdict(table, 3.1) == Verdict.STALLED
+
+
+def test_late_success_does_not_end_a_failure(table):
+    """Guards against an old request that hides a refused connection."""
+    table.begin(NAME, 1)
+    observe(table, 'refused', 1.1)
+    table.finish(NAME, Observation(0.1, 'ok'), 1.2)
+    assert verdict(table, 1.2) == Verdict.LEFT_OUT
+
+
+def test_cancelled_probe_allows_another(table):
+    """Guards against an upstream that is lost with its probe's caller."""
+    observe(table, 'refused', 1)
+    observe(table, 'cancelled', 2)
+    assert verdict(table, 2) == Verdict.USABLE
+
+
+def test_shed_holds_back_and_recovers(table):
+    """Guards against a steady flow to an upstream that sheds load."""
+    observe(table, 'shed', 1)
+    assert verdict(table, 1.05) == Verdict.SHEDDING
+    assert not table.site_sheds('board', fleet.LOCAL, 1.05)
+    for number in (1, 2):
+        observe(table, 'shed', 1, name=f'{fleet.LOCAL}-{number}')
+    assert table.site_sheds('board', fleet.LOCAL, 1.05)
+    assert verdict(table, 1.2) == Verdict.USABLE
+
+
+@pytest.mark.parametrize('drain', [('upstream', NAME), ('site', fleet.LOCAL)])
+def test_document_drains(table, drain):
+    """Guards against new work after a planned drain."""
+    table.apply(fleet.environment(drain), fleet.records(), 1)
+    assert verdict(table, 1) == Verdict.DRAINING
+    table.apply(fleet.environment(), fleet.records(), 2)
+    assert verdict(table, 2) == Verdict.USABLE
+
+
+def test_leaving_in_the_list_drains_and_returns_cold(table):
+    """Guards against full load on a process that has just started."""
+    leaving = (fleet.record(NAME, state='leaving'),)
+    table.apply(fleet.environment(), leaving, 1)
+    assert verdict(table, 1) == Verdict.DRAINING
+    table.apply(fleet.environment(), fleet.records(), 2)
+    assert verdict(table, 2) == Verdict.USABLE
+    assert table.views[NAME].limit(2) == 1
+
+
+def test_requests_of_a_removed_upstream_stay_counted(table):
+    """Guards against slots that seem free while requests still run."""
+    table.begin(NAME, 1)
+    table.apply(fleet.environment(), (), 2)
+    assert table.in_flight('board', fleet.LOCAL) == 1
+    assert verdict(table, 2) == Verdict.DRAINING
+    table.finish(NAME, Observation(1, 'ok'), 3)
+    table.apply(fleet.environment(), (), 4)
+    assert NAME not in table.views
+
+
+def test_announced_drain_outlasts_contrary_reports(table):
+    """Guards against a late report that brings work to a leaving host."""
+    observe(table, 'draining', 1)
+    for half_second in range(2, 100):
+        table.report(NAME, 0, False, half_second / 2)
+    assert verdict(table, 49) == Verdict.DRAINING
+    assert dict(table.draining()) == {NAME: {DrainSource.ANSWER}}
+
+
+def test_announced_drain_ends_after_a_gap_in_the_reports(table):
+    """Guards against a restarted upstream that stays out for ever."""
+    table.report(NAME, 1, False, 0.5)
+    observe(table, 'draining', 1)
+    for now in range(10, 15):
+        table.report(NAME, 0, False, now)
+    assert verdict(table, 14) == Verdict.DRAINING
+    table.report(NAME, 0, False, 15)
+    assert verdict(table, 15) == Verdict.USABLE
+
+
+def test_report_of_a_drain_ends_with_the_reports(table):
+    """Guards against a drain that was cancelled but stays in force."""
+    table.report(NAME, 0, True, 1)
+    assert verdict(table, 1) == Verdict.DRAINING
+    table.report(NAME, 0, False, 2)
+    assert verdict(table, 2) == Verdict.USABLE
+
+
+def test_old_report_is_not_used(table):
+    """Guards against decisions on load that has long changed."""
+    view = table.views[NAME]
+    for now in range(1, 61):
+        table.report(NAME, 4, False, now)
+    assert view.load(60) == pytest.approx(4, abs=0.1)
+    assert view.load(62.5) == pytest.approx(0)
+
+
+def test_connection_limit_is_divided_among_share_slots(table):
+    """Guards against all hosts together exceeding the worker's limit."""
+    assert table.connection_limit(NAME) == 100
+    assert table.connection_limit('unknown') == 0
+
+
+def test_new_upstream_starts_cold_but_the_first_list_is_warm(table):
+    """Guards against full load on a cold process, and a slow restart."""
+    assert table.views[NAME].limit(0) == 4
+    added = (*fleet.records(), fleet.record('new'))
+    table.apply(fleet.environment(), added, 5)
+    assert table.views['new'].limit(5) == 1
+    assert table.views['new'].limit(15) == 4
+
+
+def test_peak_rises_at_once_and_both_fade():
+    """Guards against an upstream that stays out for one slow answer."""
+    table = UpstreamTable()
+    table.apply(fleet.environment(), fleet.records(), 0)
+    for now in range(1, 11):
+        observe(table, 'ok', now, latency_s=0.1)
+    observe(table, 'ok', 11, latency_s=2)
+    latency = table.views[NAME].latency
+    assert latency.peak_at(11) == pytest.approx(2)
+    assert latency.mean_s == pytest.approx(0.45, abs=0.2)
+    assert latency.peak_at(60) == pytest.approx(0, abs=0.1)
