Recognise reads that lag behind the writes of a promotion

The reason was always a row read from before the last write.

Change: a version below the replaced one is not a conflict; after 2 s it is bad_request "does not exist", which speaks for its own call only, and after a write of the same call it ends as unknown. A history that lacks the version in force is read again.

The platform is described as transactional, but a lagging read must not make an answer untrue.

--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -38,8 +38,8 @@
 # A platform call has a deadline of 0.5 s, so this is more than ten calls.
 PROMOTION_LIMIT_S = 8.0
 RETRY_PAUSE_S = 0.2
-# A version below the replaced one is usually an operator's slip, but can be
-# a read that lags behind the writes; this long it is read again.
+# A version below the replaced one can come from a read that lags behind the
+# writes; this long it is read again.
 LAGGING_READ_LIMIT_S = 2.0
 FILE_NAME = 'document'
 
@@ -106,6 +106,12 @@
         """Return the version in force, 0 when there is none."""
         return self.current.version if self.current else 0
 
+    @property
+    def history_lags(self) -> bool:
+        """Tell whether the history lacks the version in force."""
+        newest = self.history.versions[-1:]
+        return [row.version for row in newest] != [self.version]
+
     def find(self, version: int) -> CurrentVersion | None:
         """Return what is known of a version."""
         if self.current and self.current.version == version:
@@ -269,12 +275,12 @@
         replaces, so that entry alone decides it.
         """
         entry = self.attempt.entry
-        elapsed_s = self.promoter.clock() - self.began
-        behind = standing.version < self.attempt.expected_version
-        if behind and elapsed_s < LAGGING_READ_LIMIT_S:
+        made = standing.find(entry.version)
+        if made is None and self.may_lag(standing):
             detail = f'a read returned version {standing.version}'
             return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
-        made = standing.find(entry.version)
+        if standing.version < self.attempt.expected_version:
+            return Err(not_yet(self.attempt, standing))
         if made is None:
             return Err(conflict(self.attempt, standing))
         if made.attempt_id != entry.attempt_id:
@@ -283,6 +289,17 @@
             return Err(reused(made))
         return Ok(Promoted(made.version, made.digest))
 
+    def may_lag(self, standing: Standing) -> bool:
+        """Tell whether the rows may be older than a finished write.
+
+        A version below the replaced one is usually a slip of the operator,
+        so without a write of this call it is believed after a while.
+        """
+        if standing.version >= self.attempt.expected_version:
+            return standing.history_lags
+        elapsed_s = self.promoter.clock() - self.began
+        return self.may_be_written or elapsed_s < LAGGING_READ_LIMIT_S
+
     async def prepare(
         self,
         current: CurrentVersion | None,
@@ -391,6 +408,20 @@
     return '\n'.join(str(problem) for problem in problems)
 
 
+def not_yet(attempt: Attempt, standing: Standing) -> Failure:
+    """Return the failure of an attempt that replaces an unknown version.
+
+    It is no conflict: nobody was first, and an earlier call of the attempt
+    may have seen a newer row.
+    """
+    detail = (
+        f'the attempt replaces version {attempt.expected_version}, which does '
+        f'not exist: version {standing.version} is in force; nothing was '
+        'written by this call'
+    )
+    return Failure(ErrorKind.BAD_REQUEST, detail)
+
+
 def reused(made: CurrentVersion) -> Failure:
     """Return the failure of an attempt id that made something else."""
     detail = (
@@ -408,7 +439,7 @@
         in_force = f'{in_force}, promoted by {standing.current.promoter}'
     detail = f'the attempt replaces version {asked}, but {in_force}'
     known = standing.find(asked + 1)
-    if known is None and standing.version > asked:
+    if known is None:
         detail = (
             f'{detail}; the history no longer covers version {asked + 1}, '
             'so this attempt may have promoted it'
