--- a/egretmill/agent/operations.py
+++ b/egretmill/agent/operations.py
@@ -23,6 +23,7 @@
     'JSON_TYPE',
     'OPERATOR_PATTERN',
     'TOML_TYPE',
+    'VERSION_PATTERN',
     'AgentView',
     'HostStatus',
     'StatusReport',
--- a/egretmill/cli/application.py
+++ b/egretmill/cli/application.py
@@ -6,7 +6,7 @@
 from cleo.exceptions import CleoError
 
 from egretmill import __version__
-from egretmill.cli.base import EXIT_INVALID, OperatorCommand
+from egretmill.cli.base import EXIT_INVALID, EXIT_REFUSED, OperatorCommand
 from egretmill.cli.check import CheckCommand
 from egretmill.cli.diff import DiffCommand
 from egretmill.cli.drain import DrainCommand
@@ -53,6 +53,9 @@
     except CleoError as error:
         print(f'egretmill: {error}', file=sys.stderr)
         return EXIT_INVALID
+    except KeyboardInterrupt:
+        print('egretmill: interrupted', file=sys.stderr)
+        return EXIT_REFUSED
 
 
 if __name__ == '__main__':
--- a/egretmill/cli/key.py
+++ b/egretmill/cli/key.py
@@ -46,9 +46,16 @@
 
     def handle(self) -> int:
         """Read the key from standard input: options are visible to others."""
-        key = sys.stdin.readline().strip()
-        if not key:
-            self.complain('standard input: $ = (missing): give a key')
+        try:
+            key = sys.stdin.readline().strip()
+        except UnicodeDecodeError:
+            key = ''
+        if not (key and key.isascii() and key.isprintable()):
+            # The text is not shown: it may be a key with a slip in it.
+            self.complain(
+                'standard input: $ = (hidden): give a key of printable '
+                'ASCII characters',
+            )
             return EXIT_INVALID
         self.emit(digest_of(key))
         return EXIT_OK
--- a/egretmill/cli/promote.py
+++ b/egretmill/cli/promote.py
@@ -1,6 +1,7 @@
 """``egretmill promote``: put a document in force."""
 
 import getpass
+import re
 import time
 import uuid
 from urllib.parse import urlencode
@@ -11,6 +12,7 @@
 from egretmill.agent.operations import (
     OPERATOR_PATTERN,
     TOML_TYPE,
+    VERSION_PATTERN,
     HostStatus,
     StatusReport,
 )
@@ -30,6 +32,8 @@
 __all__ = ('PromoteCommand', 'lagging')
 
 POLL_S = 0.25
+SECONDS_PATTERN = re.compile(r'[0-9]{1,5}(\.[0-9]{1,3})?')
+SHOWN_CHARACTERS = 40
 
 
 class PromoteCommand(OperatorCommand):
@@ -194,10 +198,11 @@
 def number_problems(replaces: str, wait: str) -> list[Problem]:
     """Return what is wrong with the numbers among the options."""
     problems = []
-    if not (replaces.isascii() and replaces.isdigit()):
-        shown = replaces or '(missing)'
+    if not VERSION_PATTERN.fullmatch(replaces):
+        shown = replaces[:SHOWN_CHARACTERS] or '(missing)'
         rule = 'must be the number of the version that is replaced'
         problems.append(Problem('--replaces', '$', shown, rule))
-    if not wait.replace('.', '', 1).isdigit():
-        problems.append(Problem('--wait', '$', wait, 'must be seconds'))
+    if not SECONDS_PATTERN.fullmatch(wait):
+        rule = 'must be seconds, at most five digits'
+        problems.append(Problem('--wait', '$', wait[:SHOWN_CHARACTERS], rule))
     return problems
