Test the examples in the help of each command

Cause: examples in the help texts were not checked.

Change: each example is parsed with the definition of its command.

Ruled out: transcripts of all help texts, which change with the library.

Conclusion: help and pages are checked in the same way.

--- a/tests/cli/test_operations_pages.py
+++ b/tests/cli/test_operations_pages.py
@@ -8,11 +8,11 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 from egretmill import events
-from egretmill.cli.application import build_application
+from egretmill.cli.application import COMMANDS, build_application
 
 DOCS = pathlib.Path(__file__).parents[2] / 'docs'
 PAGES = sorted((DOCS / 'operations').glob('*.md'))
-COMMAND = re.compile('^ *(egretmill [^<\n]*)', re.MULTILINE)
+COMMAND = re.compile('^ *(egretmill .*)', re.MULTILINE)
 EVENT = re.compile('event ([0-9]{3}) `([a-z_]+)`')
 LINK = re.compile(r'\]\(([^)#]+)\)')
 
@@ -23,21 +23,33 @@
     return [line for block in blocks for line in COMMAND.findall(block)]
 
 
+def parse(line: str) -> str:
+    """Parse a command line and return the name of its command."""
+    application = build_application()
+    words = shlex.split(line.partition(' < ')[0])
+    name = ' '.join(words[1:3])
+    if not application.has(name):
+        name = words[1]
+    command = application.find(name)
+    command.merge_application_definition(merge_args=False)
+    parsed = ArgvInput(['egretmill', *words[1 + len(name.split()) :]])
+    parsed.bind(command.definition)
+    parsed.validate()
+    return name
+
+
 @pytest.mark.parametrize('page', PAGES, ids=lambda page: page.stem)
 def test_commands_exist(page):
     """Guards against instructions that the tool does not understand."""
-    application = build_application()
     for line in commands(page):
-        words = shlex.split(line)
-        name = ' '.join(words[1:3])
-        if not application.has(name):
-            name = words[1]
-        command = application.find(name)
-        rest = words[1 + len(name.split()) :]
-        command.merge_application_definition(merge_args=False)
-        parsed = ArgvInput(['egretmill', *rest])
-        parsed.bind(command.definition)
-        parsed.validate()
+        assert parse(line)
+
+
+@pytest.mark.parametrize('command', COMMANDS, ids=lambda item: item.name)
+def test_help_has_an_example(command):
+    """Guards against a help text without a command that can be copied."""
+    assert parse(command.example) == command.name
+    assert command.example in command().help
 
 
 @pytest.mark.parametrize('page', PAGES, ids=lambda page: page.stem)
