--- a/egretmill/ledger/recording.py
+++ b/egretmill/ledger/recording.py
@@ -65,9 +65,11 @@
         """Keep a record in memory and wait a bounded time for its write."""
         if not self.keep(key, held, message):
             return NOT_OWNER
+        task = held.task
         limit_s = self.held.limits.acknowledge_s
-        finished, _ = await asyncio.wait({held.task}, timeout=limit_s)
-        return ACKNOWLEDGED if finished else NOT_WRITTEN
+        await asyncio.wait({task}, timeout=limit_s)
+        written = task.done() and not task.cancelled()
+        return ACKNOWLEDGED if written else NOT_WRITTEN
 
     def keep(self, key: str, held: Held, message: RecordAnswer) -> bool:
         """Keep a record in memory and write it in the background.
--- a/egretmill/ledger/service.py
+++ b/egretmill/ledger/service.py
@@ -228,7 +228,9 @@
         await asyncio.wait({task}, timeout=left_s)
         if not task.done():
             held.withdrawn = True
-        return UNAVAILABLE if held.withdrawn else task.result()
+        if held.withdrawn or task.cancelled():
+            return UNAVAILABLE
+        return task.result()
 
     def give_up_overdue(self) -> None:
         """Give up the oldest claim if its entry never recorded it."""
--- /dev/null
+++ b/tests/ledger/test_interleavings.py
@@ -0,0 +1,251 @@
+"""No order of faults and repeats runs an idempotency key twice."""
+
+import asyncio
+import collections
+import contextlib
+import random
+from types import MappingProxyType
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretmill.wire.messages import StoredAnswer
+from tests.fakes import FakeTable, Fault
+from tests.ledger.support import Fleet, claim, in_turn, record
+from tests.virtual_time import run_virtual
+
+HOSTS = 'abc'
+KEYS = ('k1', 'k2')
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            (
+                'request',
+                'request',
+                'request',
+                'other body',
+                'restart host',
+                'restart agent',
+                'restart entry',
+                'down',
+                'slow',
+                'lose',
+                'pause',
+                'clear',
+            ),
+        ),
+        st.sampled_from(HOSTS),
+        st.sampled_from(KEYS),
+        st.sampled_from((0, 0.001, 0.01, 0.4, 2)),
+    ),
+    min_size=4,
+    max_size=16,
+)
+SWITCHES = MappingProxyType(
+    {
+        'down': {'down': True},
+        'slow': {'slow_s': 0.45},
+        'lose': {'lose_answers': 2, 'lose_reads': 3},
+        'clear': {
+            'down': False,
+            'slow_s': 0,
+            'lose_answers': 0,
+            'lose_reads': 0,
+        },
+    },
+)
+KILLS = frozenset(('restart host', 'restart agent', 'restart entry'))
+
+
+class Host:
+    """One host: its claim service and the run of its entry program."""
+
+    def __init__(self, fleet, name, next_fault):
+        """Start the first run of both programs."""
+        self.fleet = fleet
+        self.name = name
+        self.next_fault = next_fault
+        self.entry_run = 1
+        self.incarnation = 0
+        self.service = None
+        self.start_agent()
+
+    def start_agent(self):
+        """Start a run of the agent, under the faults in force."""
+        switches = self.switches if self.incarnation else None
+        self.incarnation += 1
+        self.service = self.fleet.start(
+            self.name,
+            self.incarnation,
+            self.next_fault,
+        )
+        if switches:
+            self.fleet.stores[self.name].switches = switches
+
+    @property
+    def switches(self):
+        """Return the fault switches of the host."""
+        return self.fleet.stores[self.name].switches
+
+    async def restart_agent(self):
+        """End the agent at once and start it again."""
+        await self.service.close()
+        self.start_agent()
+
+    async def carry_out(self, event):
+        """Apply one event."""
+        match event:
+            case 'restart host':
+                self.entry_run += 1
+                await self.restart_agent()
+            case 'restart agent':
+                await self.restart_agent()
+            case 'restart entry':
+                self.entry_run += 1
+                self.service.entry_lost()
+            case 'pause':
+                now = asyncio.get_running_loop().time()
+                self.switches.paused_until = now + 3
+            case _ if event in SWITCHES:
+                self.switch(**SWITCHES[event])
+
+    def switch(self, **values):
+        """Set fault switches of the host."""
+        for name, value in values.items():
+            setattr(self.switches, name, value)
+
+
+class Scenario:
+    """Requests, faults and restarts over one table."""
+
+    def __init__(self, seed):
+        """Start three hosts."""
+        self.rng = random.Random(seed)
+        self.calm = False
+        fleet = Fleet(FakeTable())
+        self.hosts = {
+            name: Host(fleet, name, self.random_fault) for name in HOSTS
+        }
+        self.executions = collections.Counter()
+        self.answers = {}
+        self.wrong = []
+
+    def random_fault(self):
+        """Return a fault that is often none."""
+        if self.calm:
+            return Fault()
+        return Fault(
+            request_s=self.rng.choice((0.001, 0.002, 0.01, 0.2, 0.7, 3)),
+            answer_s=self.rng.choice((0.001, 0.002, 0.01, 0.6)),
+            lost=self.rng.randrange(8) == 0,
+        )
+
+    async def request(self, host, key, digest='d1'):
+        """Let an entry program serve one request of a caller."""
+        run = host.entry_run
+        message = claim(key, digest, self.rng.choice((0.3, 1, 4)))
+        decision = None
+        with contextlib.suppress(TimeoutError):
+            decision = await asyncio.wait_for(
+                host.service.claim(message),
+                message.timeout_s + 0.1,
+            )
+        if host.entry_run != run:
+            return
+        if decision is None:
+            await self.record(host, run, record(message, 'released'))
+        elif decision.status == 'granted':
+            await self.execute(host, run, message)
+        elif decision.status == 'repeat':
+            self.check_repeat(key, decision)
+
+    async def execute(self, host, run, message):
+        """Run a granted request, or release it unsent."""
+        key = message.idempotency_key
+        ending = self.rng.choice(('done', 'done', 'done', 'released'))
+        await asyncio.sleep(self.rng.choice((0, 0.01, 0.8)))
+        if host.entry_run != run:
+            return
+        answer = StoredAnswer(200, (), message.attempt_id.encode())
+        if ending == 'done':
+            self.executions[key] += 1
+            self.answers[key] = answer
+            await asyncio.sleep(self.rng.choice((0, 0.01, 2)))
+        await self.record(host, run, record(message, ending, answer))
+
+    async def record(self, host, run, message):
+        """Record until it is acknowledged, as the contract asks."""
+        while host.entry_run == run:
+            recorded = await host.service.record(message)
+            if recorded.is_ok():
+                return
+            if recorded.err_value.kind == 'version_conflict':
+                self.wrong.append(('record refused', message))
+                return
+            await asyncio.sleep(0.2)
+
+    def check_repeat(self, key, decision):
+        """Note an answer that is not the first one."""
+        if decision.answer != self.answers.get(key):
+            self.wrong.append(('other answer', key, decision))
+
+    async def play(self, events):
+        """Apply events, then end the faults and ask for every key."""
+        requests = []
+        for event, name, key, passed_s in events:
+            host = self.hosts[name]
+            if event in {'request', 'other body'}:
+                digest = 'd2' if event == 'other body' else 'd1'
+                requests.append(
+                    asyncio.create_task(self.request(host, key, digest)),
+                )
+            await host.carry_out(event)  # noqa: WPS476 events in order
+            await asyncio.sleep(passed_s)  # noqa: WPS476 events in order
+        await self.recover(requests)
+        killed = bool(KILLS & {entry[0] for entry in events})
+        await in_turn(self.check_final(one, killed) for one in KEYS)
+        assert not self.wrong
+        assert all(count <= 1 for count in self.executions.values())
+
+    async def recover(self, requests):
+        """End the faults and wait until everything has settled."""
+        self.calm = True
+        for host in self.hosts.values():
+            host.switch(**SWITCHES['clear'])
+        await asyncio.gather(*requests)
+        await asyncio.sleep(30)
+
+    async def check_final(self, key, killed):
+        """Ask every host for a key once nothing runs any more."""
+        decisions = await in_turn(
+            host.service.claim(claim(key, timeout_s=1))
+            for host in self.hosts.values()
+        )
+        statuses = [decision.status for decision in decisions]
+        for decision in decisions:
+            if decision.status == 'repeat':
+                self.check_repeat(key, decision)
+        if statuses[0] == 'granted':
+            assert not self.executions[key]
+            return
+        expected = {'repeat', 'mismatch'}
+        if killed:
+            expected.add('owner_lost')
+        assert set(statuses) <= expected
+        assert len(set(statuses)) == 1
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_a_key_runs_at_most_once(seed):
+    """Guards against a second execution, or a key stuck after faults."""
+
+    @settings(derandomize=True, max_examples=80, deadline=None)
+    @given(EVENTS)
+    def check(events):
+        async def play():
+            await Scenario(seed).play(events)
+
+        run_virtual(play())
+
+    check()
--- a/tests/ledger/test_service.py
+++ b/tests/ledger/test_service.py
@@ -98,6 +98,9 @@
     assert (await first.claim(claim())).status == 'granted'
     first.entry_lost()
     assert (await first.claim(claim())).status == 'owner_lost'
+    await asyncio.sleep(1)
+    assert not first.held.by_key
+    assert (await first.claim(claim())).status == 'owner_lost'
     assert (await second.claim(claim())).status == 'owner_lost'
 
 
