--- a/egretmill/admission/gate.py
+++ b/egretmill/admission/gate.py
@@ -86,15 +86,17 @@
         now = self.clock()
         if deadline_at - LEAST_SERVICE_S <= now:
             return Err(Failure(ErrorKind.QUEUE_TIMEOUT, 'deadline is past'))
+        shortage: Failure | None = None
         if self.queue.is_idle(service):
             answer = attempt(now)
             if isinstance(answer, Ok) or not is_transient(answer.err_value):
                 return answer
+            shortage = answer.err_value
         needs_s = self.needs_s(service)
         waiting = Waiting(service, account, deadline_at, attempt, 1, needs_s)
         future = asyncio.get_running_loop().create_future()
         self.futures[waiting] = future
-        self._resolve(self.queue.push(waiting, now))
+        self._resolve(self.queue.push(waiting, now, shortage))
         self._serve()
         return await self._wait(waiting, future)
 
--- a/egretmill/admission/queue.py
+++ b/egretmill/admission/queue.py
@@ -50,17 +50,26 @@
         """Tell whether nobody waits for a service."""
         return service not in self.rings
 
-    def push(self, waiting: Waiting, now: float) -> list[Outcome]:
+    def push(
+        self,
+        waiting: Waiting,
+        now: float,
+        shortage: Failure | None = None,
+    ) -> list[Outcome]:
         """Queue a request and return the refusals that this causes.
 
         A full queue refuses the newest request of the account that has the
         most waiting, so that an account that floods the queue displaces
         only itself. A request is refused at once when, at the pace of its
         account's last admissions, its turn would come too late.
+
+        :param shortage: failure of an attempt that was just made.
         """
         ring = self.rings.setdefault(waiting.service, Ring())
         flow = ring.flows.setdefault(waiting.account, Flow(waiting.account))
         flow.add(waiting, now)
+        if shortage is not None:
+            _block(ring, flow, shortage, now)
         ring.length += 1
         self.queued.add(waiting)
         entry = (waiting.latest_at, next(self.sequence), waiting)
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from egretmill.admission import FairQueue, Gate, Shortage
-from egretmill.errors import ErrorKind
+from egretmill.errors import ErrorKind, Failure
 
 
 @dataclasses.dataclass
@@ -90,3 +90,62 @@
     await asyncio.gather(task, return_exceptions=True)
     assert returned == ['a']
     assert not len(gate.queue)
+
+
+async def test_one_attempt_per_request_while_short():
+    """Guards against needless work in overload."""
+    gate = make_gate()
+    tries = []
+
+    def attempt(now):
+        tries.append(now)
+        return Err(Shortage(ErrorKind.OVERLOADED, 'none', 60))
+
+    calls = [
+        gate.admit('s', account, gate.clock() + 0.03, attempt)
+        for account in ('a', 'b', 'a')
+    ]
+    await asyncio.gather(*calls)
+    assert len(tries) == 1
+
+
+async def test_own_bucket_gives_rate_limited_and_harms_nobody():
+    """Guards against a refusal that blames the service."""
+    gate = make_gate()
+    slots = Slots(5)
+
+    def limited(now):
+        return Err(Shortage(ErrorKind.RATE_LIMITED, 'bucket', 60))
+
+    deadline = gate.clock() + 0.03
+    first = asyncio.create_task(gate.admit('s', 'x', deadline, limited))
+    await asyncio.sleep(0)
+    other = await gate.admit('s', 'a', deadline, slots.attempt_for('a'))
+    assert other == Ok('a')
+    assert gate.clock() < deadline
+    assert (await first).unwrap_err().kind == ErrorKind.RATE_LIMITED
+
+
+async def test_timer_retries_after_the_hint():
+    """Guards against a wait that only a release would end."""
+    gate = make_gate()
+    ready_at = gate.clock() + 0.02
+
+    def attempt(now):
+        if now < ready_at:
+            return Err(Shortage(ErrorKind.RATE_LIMITED, '', ready_at - now))
+        return Ok('late')
+
+    deadline = gate.clock() + 5
+    assert await gate.admit('s', 'a', deadline, attempt) == Ok('late')
+    assert gate.clock() < ready_at + 0.1
+
+
+async def test_lasting_failure_is_returned_at_once():
+    """Guards against a wait when no upstream exists."""
+    gate = make_gate()
+    failure = Failure(ErrorKind.NO_UPSTREAM, 'none')
+    deadline = gate.clock() + 5
+    answer = await gate.admit('s', 'a', deadline, lambda now: Err(failure))
+    assert answer == Err(failure)
+    assert gate.clock() < deadline - 4
