Test capacity, spill over, rotation and policy errors

Each test names the failure that it guards against: load of a whole site on the upstreams left, refusals while cold upstreams are free, a jump of all load at the last slot, trust in a false report, all hosts beginning at the same upstream, an error that does not help the operator.

--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -3,7 +3,7 @@
 import pytest
 
 from egretmill.errors import ErrorKind
-from egretmill.routing import POLICIES, Observation, UpstreamTable
+from egretmill.routing import POLICIES, Observation, UpstreamTable, get_policy
 from tests.routing import fleet
 
 
@@ -89,3 +89,86 @@
         assert f'upstream {known.name}: ' in text
     assert 'site-n1-0: draining (own answer)' in text
     assert lines[-1] == f'chosen: {router.choose("board", env, limits, 1).ok()}'
+
+
+def test_failed_upstreams_lower_the_capacity(table):
+    """Guards against the load of a whole site on the upstreams left (P2)."""
+    for number in (0, 1):
+        name = f'{fleet.LOCAL}-{number}'
+        table.begin(name, 1)
+        table.finish(name, Observation(0.01, 'refused'), 1)
+    shares = {fleet.NEAR: 0, fleet.FAR: 0}
+    limits = fleet.FakeLimits(table, 9, shares=shares)
+    router = fleet.router(table)
+    env = fleet.environment()
+    for _ in range(3):
+        chosen = router.choose('board', env, limits, 1.1).unwrap()
+        table.begin(chosen.upstream.name, 1.1)
+    refused = router.choose('board', env, limits, 1.1)
+    assert refused.unwrap_err().kind == ErrorKind.OVERLOADED
+
+
+def test_cold_upstreams_are_used_rather_than_refused():
+    """Guards against refusals while cold upstreams have free slots."""
+    table = UpstreamTable()
+    env = fleet.environment()
+    table.apply(env, (fleet.record('warm', fleet.FAR),), 0)
+    table.apply(env, (fleet.record('cold', slots=4),), 1)
+    limits = fleet.FakeLimits(table, 4)
+    router = fleet.router(table)
+    for _ in range(4):
+        chosen = router.choose('board', env, limits, 1).unwrap()
+        table.begin(chosen.upstream.name, 1)
+    assert table.in_flight('board', fleet.LOCAL) == 4
+
+
+def test_spill_over_rises_with_use(table):
+    """Guards against a jump of all load when the last slot is taken."""
+    limits = fleet.FakeLimits(table, 12)
+    router = fleet.router(table)
+    env = fleet.environment()
+    shifted = []
+    for running in range(12):
+        found = [
+            router.choose('board', env, limits, 1).unwrap().shifted
+            for _ in range(200)
+        ]
+        shifted.append(sum(found))
+        table.begin(f'{fleet.LOCAL}-{running % 3}', 1)
+    assert not any(shifted[:10])
+    assert shifted[10] > 0
+    assert shifted[10] < shifted[11] < 200
+
+
+def test_slow_upstream_that_reports_idle_is_avoided(table):
+    """Guards against trust in a report that observation contradicts."""
+    slow = f'{fleet.LOCAL}-0'
+    for number in range(3):
+        name = f'{fleet.LOCAL}-{number}'
+        latency_s = 1 if name == slow else 0.1
+        table.begin(name, 1)
+        table.finish(name, Observation(latency_s, 'ok'), 1)
+        table.report(name, 0 if name == slow else 2, False, 1)
+    limits = fleet.FakeLimits(table)
+    router = fleet.router(table)
+    chosen = router.choose('board', fleet.environment(), limits, 1).unwrap()
+    assert chosen.upstream.name != slow
+
+
+def test_rotation_keeps_hosts_apart(table):
+    """Guards against all hosts that begin at the same upstream."""
+    limits = fleet.FakeLimits(table)
+    router = fleet.router(table)
+    first = set()
+    for rotation in range(3):
+        router.rotation = rotation
+        chosen = router.choose('board', fleet.environment(), limits, 1)
+        first.add(chosen.unwrap().upstream.name)
+    assert len(first) == 3
+
+
+def test_unknown_policy_names_the_known_ones():
+    """Guards against an error that does not help the operator."""
+    failure = get_policy('fastest').unwrap_err()
+    for name in POLICIES:
+        assert name in failure.detail
