Measure membership at four sizes

Full mesh, relays per failure domain and partial views are compared with real encoded heartbeats of light hosts in one process and virtual time; CPU comes from the real aggregates and from real calls over loopback. The spread of a version is measured with a tenth of the messages lost and one domain without the platform.

A heartbeat no longer costs a pass over all peers: changes are worked out for the host that was heard, and for all of them in check().

--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,345 @@
+"""Membership: bytes, messages and CPU per host, and spread of a version.
+
+Run as ``python -m bench.membership``. Three ways of heartbeats are
+compared: full mesh, relays per failure domain, and partial views (each
+host asks a few random others). Messages are real and encoded; hosts are
+light instances in one process, without sockets, in virtual time. CPU is
+measured on real aggregates and, for the sockets, on real calls over
+loopback, and multiplied with the counted messages.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import random
+import statistics
+import time
+from collections.abc import Callable, Iterator
+
+import xxhash
+from result import Ok
+
+from bench import fleet
+from egretmill.membership.confirmation import Confirmation
+from egretmill.membership.peers import Peers
+from egretmill.metrics import Metrics
+from egretmill.wire import Peer, Server, messages
+
+__all__ = ('main',)
+
+SIZES = (7, 87, 290, 870)
+HEARTBEAT_S = 0.5
+LOSS = 0.1
+SEEDS = 5
+RELAYS = 2
+VIEW = 3
+LIMIT_S = 60.0
+# A full mesh is the same in each interval; the others are random.
+COUNTED_INTERVALS = 20
+# IPv4 and TCP headers with timestamps (52), length and request id of the SP
+# protocol (12), and half of the acknowledgement that ends an exchange (26).
+OVERHEAD_BYTES = 52 + 12 + 26
+MICROSECONDS = 1_000_000
+# Targets, section 1.6 of the design page.
+TARGET_BYTES_PER_S = 5000
+TARGET_CPU_PERCENT = 2.4
+TARGET_SPREAD_S = 18
+
+#: Returns the hosts that a host asks in one interval.
+Targets = Callable[[int, random.Random], list[int]]
+
+
+@dataclasses.dataclass(slots=True)
+class Layout:
+    """Hosts by number, their failure domains and the relays of each."""
+
+    size: int
+    domains: int
+    members: list[list[int]]
+    relays: list[list[int]]
+
+    @classmethod
+    def of_size(cls, size: int) -> 'Layout':
+        """Spread hosts over domains; relays follow from the names."""
+        domains = fleet.domain_count(size)
+        members = [list(range(fd, size, domains)) for fd in range(domains)]
+        relays = [sorted(group, key=relay_rank)[:RELAYS] for group in members]
+        return cls(size, domains, members, relays)
+
+    def mesh(self, host: int, rng: random.Random) -> list[int]:
+        """Ask all others."""
+        return [other for other in range(self.size) if other != host]
+
+    def relayed(self, host: int, rng: random.Random) -> list[int]:
+        """Ask the relays of the own domain; relays ask all relays."""
+        own = self.relays[host % self.domains]
+        if host not in own:
+            return own
+        return [
+            other for group in self.relays for other in group if other != host
+        ]
+
+    def partial(self, host: int, rng: random.Random) -> list[int]:
+        """Ask a few random others."""
+        count = min(VIEW, self.size - 1)
+        chosen = rng.sample(range(self.size), count + 1)
+        return [other for other in chosen if other != host][:count]
+
+    def ways(self) -> dict[str, Targets]:
+        """Return the ways to compare."""
+        return {
+            'mesh': self.mesh,
+            'relays': self.relayed,
+            'partial': self.partial,
+        }
+
+
+def relay_rank(host: int) -> int:
+    """Order hosts by the hash of their name."""
+    return xxhash.xxh3_64_intdigest(f'entry-{host}'.encode())
+
+
+def heartbeat(host: int, version: int) -> messages.Heartbeat:
+    """Return the heartbeat of a host."""
+    return messages.Heartbeat(
+        f'entry-{host}',
+        1764835200000 + host,
+        version,
+        0.31,
+        0.22,
+        leaving=False,
+        entry_ready=True,
+        slot_index=host,
+    )
+
+
+class Fleet:
+    """All hosts in virtual time; counts messages and bytes per host."""
+
+    def __init__(self, layout: Layout, targets: Targets, seed: int) -> None:
+        """Give each host a phase within the interval."""
+        self.layout = layout
+        self.targets = targets
+        self.rng = random.Random(seed)
+        self.phases = sorted(
+            (self.rng.random() * HEARTBEAT_S, host)
+            for host in range(layout.size)
+        )
+        everyone = range(layout.size)
+        self.versions = [1 for _ in everyone]
+        self.frames = [
+            [messages.encode(heartbeat(host, version)) for version in (1, 2)]
+            for host in everyone
+        ]
+        self.sent = [0 for _ in everyone]
+        self.received = [0 for _ in everyone]
+        self.sent_bytes = [0 for _ in everyone]
+
+    def interval(self, start_s: float, *, promoted: bool) -> float:
+        """Run one interval; return when the last host learned, or 0."""
+        last_s = 0.0
+        for phase, host in self.phases:
+            before = sum(self.versions) if promoted else 0
+            if promoted and self.polls(host):
+                self.versions[host] = 2
+            for other in self.targets(host, self.rng):
+                self.exchange(host, other)
+            if promoted and sum(self.versions) > before:
+                last_s = start_s + phase
+        return last_s
+
+    def polls(self, host: int) -> bool:
+        """Tell whether a host reads the new version from the platform.
+
+        The relays of each domain poll; domain 0 is cut off.
+        """
+        domain = host % self.layout.domains
+        if domain == 0 or host not in self.layout.relays[domain]:
+            return False
+        return self.rng.random() >= LOSS
+
+    def exchange(self, host: int, other: int) -> None:
+        """Send a heartbeat and its answer; each can be lost."""
+        self.send(host, other)
+        if self.rng.random() < LOSS:
+            return
+        self.learn(other, self.frames[host][self.versions[host] - 1])
+        self.send(other, host)
+        if self.rng.random() < LOSS:
+            return
+        self.learn(host, self.frames[other][self.versions[other] - 1])
+
+    def send(self, host: int, other: int) -> None:
+        """Count one message."""
+        size = len(self.frames[host][self.versions[host] - 1])
+        self.sent[host] += 1
+        self.received[other] += 1
+        self.sent_bytes[host] += size + OVERHEAD_BYTES
+
+    def learn(self, host: int, frame: bytes) -> None:
+        """Take over the version of a received heartbeat."""
+        version = messages.decode(frame).version
+        self.versions[host] = max(self.versions[host], version)
+
+
+def spread_s(layout: Layout, targets: Targets, seed: int) -> float:
+    """Return when the last host has learned of a version."""
+    hosts = Fleet(layout, targets, seed)
+    start_s = 0.0
+    last_s = 0.0
+    while min(hosts.versions) < 2 and start_s < LIMIT_S:
+        last_s = max(hosts.interval(start_s, promoted=True), last_s)
+        start_s += HEARTBEAT_S
+    return last_s if min(hosts.versions) == 2 else LIMIT_S
+
+
+@dataclasses.dataclass(slots=True)
+class Cost:
+    """CPU of one message in microseconds."""
+
+    send_us: float
+    receive_us: float
+    socket_us: float
+    upkeep_us: float
+
+
+def measure_cost(size: int, socket_us: float) -> Cost:
+    """Measure the aggregates of one host that knows a fleet."""
+    peers = Peers('entry-0')
+    confirmation = Confirmation('entry-0')
+    confirmation.platform_read(1, 0, 0)
+    confirmation.apply(1, 0)
+    records = tuple(state.host for state in fleet.peers(size))
+    peers.apply_host_list(records, 0)
+    frames = [
+        messages.encode(heartbeat(host, 1)) for host in range(1, size)
+    ] or [messages.encode(heartbeat(1, 1))]
+    repeats = max(5000 // len(frames), 1)
+
+    def receive(frame: bytes) -> None:  # noqa: WPS430  # called by the timer
+        beat = messages.decode(frame)
+        peers.heard(beat, 1.0, 1.1, asked=beat.host)
+        confirmation.heard(beat, 1.0, 1.1)
+
+    def send(frame: bytes) -> None:  # noqa: WPS430  # called by the timer
+        messages.encode(heartbeat(0, 1))
+        peers.record('entry-1')
+
+    def upkeep(step: int) -> None:  # noqa: WPS430  # called by the timer
+        now = 1 + step / 1000
+        peers.to_heartbeat(now)
+        peers.check(now)
+        states = peers.states(now)
+        confirmation.apply_outage_rule(states, size, now)
+        confirmation.settled_version(now, size)
+
+    return Cost(
+        cpu_us(send, frames * repeats),
+        cpu_us(receive, frames * repeats),
+        socket_us,
+        cpu_us(upkeep, list(range(20))),
+    )
+
+
+def cpu_us(call: Callable[[object], None], items: list) -> float:
+    """Return microseconds of CPU per call."""
+    begin = time.process_time()
+    for item in items:
+        call(item)
+    return (time.process_time() - begin) / len(items) * MICROSECONDS
+
+
+async def socket_cost_us(calls: int = 3000) -> float:
+    """Return the CPU of one end of one call over loopback.
+
+    Encoding and decoding are part of it, so that figures with sockets are
+    rather too high.
+    """
+    port = fleet.free_port()
+    beat = heartbeat(1, 1)
+
+    async def answer(message: messages.Message) -> Ok:  # noqa: WPS430
+        return Ok(beat)
+
+    server = Server(fleet.ADDRESS, port, answer, Metrics(None))
+    server.start()
+    peer = Peer(fleet.ADDRESS, port)
+    await peer.call(beat, 2)
+    begin = time.process_time()
+    remaining = calls
+    while remaining:
+        await peer.call(beat, 2)
+        remaining -= 1
+    used = time.process_time() - begin
+    peer.close()
+    server.close()
+    return used / calls / 2 * MICROSECONDS
+
+
+def report(size: int, socket_us: float) -> Iterator[str]:
+    """Yield one line per way at one size."""
+    layout = Layout.of_size(size)
+    cost = measure_cost(size, socket_us)
+    yield (
+        f'membership: hosts={size} send={cost.send_us:.1f} us '
+        f'receive={cost.receive_us:.1f} us socket={cost.socket_us:.0f} us '
+        f'upkeep={cost.upkeep_us:.0f} us per pass over the peers'
+    )
+    for name, targets in layout.ways().items():
+        yield way_line(layout, name, targets, cost)
+
+
+def way_line(
+    layout: Layout,
+    name: str,
+    targets: Targets,
+    cost: Cost,
+) -> str:
+    """Measure one way and return its line."""
+    hosts = Fleet(layout, targets, seed=0)
+    intervals = 1 if name == 'mesh' else COUNTED_INTERVALS
+    for _ in range(intervals):
+        hosts.interval(0, promoted=False)
+    per_s = 1 / HEARTBEAT_S / intervals
+    sent = [count * per_s for count in hosts.sent]
+    size_bytes = [count * per_s for count in hosts.sent_bytes]
+    busiest = max(range(layout.size), key=hosts.sent.__getitem__)
+    cpu = (
+        hosts.sent[busiest] * cost.send_us
+        + hosts.received[busiest] * cost.receive_us
+        + hosts.sent[busiest] * cost.socket_us
+    ) * per_s + cost.upkeep_us / HEARTBEAT_S
+    seeds = 1 if layout.size > 100 and name == 'mesh' else SEEDS
+    spreads = [spread_s(layout, targets, seed) for seed in range(seeds)]
+    return (
+        f'membership: hosts={layout.size} way={name} '
+        f'messages/s={statistics.mean(sent):.0f} (most {max(sent):.0f}) '
+        f'bytes/s={statistics.mean(size_bytes):.0f} '
+        f'(most {max(size_bytes):.0f}) '
+        f'CPU of the busiest={cpu / MICROSECONDS * 100:.2f}% '
+        f'spread={max(spreads):.1f} s (of {seeds} runs)'
+    )
+
+
+def main() -> None:
+    """Print the lines of all sizes."""
+    parser = argparse.ArgumentParser(prog='bench.membership')
+    parser.add_argument('--sizes', type=int, nargs='*', default=SIZES)
+    arguments = parser.parse_args()
+    socket_us = asyncio.run(socket_cost_us())
+    frame = messages.encode(heartbeat(800, 1))
+    print(
+        f'membership: heartbeat={len(frame)} bytes '
+        f'and {OVERHEAD_BYTES} bytes of protocol headers'
+    )
+    for size in arguments.sizes:
+        for line in report(size, socket_us):
+            print(line, flush=True)
+    print(
+        f'membership: targets per host bytes/s<={TARGET_BYTES_PER_S} '
+        f'CPU<={TARGET_CPU_PERCENT}% spread<={TARGET_SPREAD_S} s'
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/egretmill/membership/peers.py
+++ b/egretmill/membership/peers.py
@@ -121,13 +121,13 @@
                 known.take_request(heartbeat)
             else:
                 known.take_answer(heartbeat, sent_at, self.awake_s)
-        return (*restarted, *self.changes())
+        return (*restarted, *self.changes(host, asked or host))
 
     def missed(self, host: str, now: float) -> tuple[PeerChange, ...]:
         """Note that a heartbeat got no answer within its deadline."""
         self.advance(now)
         self.miss(host)
-        return tuple(self.changes())
+        return tuple(self.changes(host))
 
     def check(self, now: float) -> tuple[PeerChange, ...]:
         """Return the changes that are due to the time that passed."""
@@ -213,16 +213,20 @@
         if other and not known.is_reachable(self.awake_s):
             known.move(other)
 
-    def changes(self) -> Iterator[PeerChange]:
-        """Yield the hosts whose reachability changed since the last call."""
-        for name, known in self.known.items():
-            reachable = known.is_reachable(self.awake_s)
-            if reachable == known.up or name == self.own_name:
+    def changes(self, *hosts: str) -> Iterator[PeerChange]:
+        """Yield the hosts whose reachability changed since the last call.
+
+        :param hosts: only these; a heartbeat must not cost a pass over a
+            fleet of 870 hosts. All when empty.
+        """
+        for name in hosts or self.known:
+            known = self.known.get(name)
+            if known is None or name == self.own_name:
                 continue
-            known.up = reachable
-            event = CATALOGUE.PEER_UP if reachable else CATALOGUE.PEER_DOWN
-            reason = 'answers' if reachable else f'missed {known.missed}'
-            yield PeerChange(event, name, known.incarnation, reason)
+            reachable = known.is_reachable(self.awake_s)
+            if reachable != known.up:
+                known.up = reachable
+                yield change_of(name, known)
 
     def forget(self, now: float) -> None:
         """Drop hosts that are neither listed nor heard of for a lease."""
@@ -237,6 +241,15 @@
             self.known.pop(name)
 
 
+def change_of(host: str, known: PeerView) -> PeerChange:
+    """Return the change to what is known of a host now."""
+    if known.up:
+        event, reason = CATALOGUE.PEER_UP, 'answers'
+    else:
+        event, reason = CATALOGUE.PEER_DOWN, f'missed {known.missed}'
+    return PeerChange(event, host, known.incarnation, reason)
+
+
 def restart(known: PeerView, heartbeat: Heartbeat) -> tuple[PeerChange, ...]:
     """Move to a higher incarnation; the first one is no restart."""
     earlier = known.incarnation
