--- a/egretmill/agent/program.py
+++ b/egretmill/agent/program.py
@@ -12,12 +12,11 @@
 from egretmill.agent.configuration import ConfigurationWatch
 from egretmill.agent.heartbeats import Heartbeats
 from egretmill.agent.links import PeerLinks
-from egretmill.agent.operations import make_application
+from egretmill.agent.operations import listen
 from egretmill.agent.platform_watch import PlatformWatch
 from egretmill.agent.promotions import TrackedPromoter
 from egretmill.agent.state import AgentState
 from egretmill.document import Environment
-from egretmill.document.promotion import MAX_DOCUMENT_BYTES
 from egretmill.errors import ErrorKind, Failure
 from egretmill.ledger.service import ClaimService
 from egretmill.logs import log_event
@@ -32,7 +31,6 @@
 __all__ = ('Agent', 'serve')
 
 EXPLAIN_TIMEOUT_S = 1.0
-OPERATIONS_BODY_BYTES = 2 * MAX_DOCUMENT_BYTES
 STOP_POLL_S = 0.05
 
 
@@ -120,15 +118,7 @@
         address = self.settings.address
         self.server = Server(address, ports.agent, self.handle, self.metrics)
         self.server.start()
-        application = make_application(
-            self,
-            self.settings.operations_token_digest,
-        )
-        self.operations = HTTPServer(
-            application,
-            max_body_size=OPERATIONS_BODY_BYTES,
-        )
-        self.operations.listen(ports.operations, address)
+        self.operations = listen(self, self.settings)
         self.loops = [
             asyncio.create_task(work)
             for work in (
