Test quota shares: fault matrix, interleavings and promises

Cause: the safety of loans rests on the order of stops, waits and ends under faults, which examples alone do not cover.

The interleavings let messages arrive in any order, twice, crossed or never, while versions, slots and processes change. They also check that nothing would be exceeded if all held tokens and slots were used at that moment. Owned shares are cached until they change.

Ruled out: random messages alone.

--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -4,7 +4,7 @@
 import functools
 import heapq
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from egretmill.document import Environment
 from egretmill.quota import Holdings, Policy, Refused, Taken
@@ -75,29 +75,46 @@
     )
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Host:
-    """An entry program of the fleet and its place."""
+    """An entry program of the fleet and its place.
+
+    :param clock_rate: rate of the host's clock; 1 is exact.
+    :param paused_until: the process does nothing before this time.
+    """
 
     name: str
-    index: int
     domain: str
     region: str
     holdings: Holdings
-    slot: ShareSlot
+    slot: ShareSlot | None
     alive: bool = True
     incarnation: int = 1
+    clock_rate: float = 1.0
+    paused_until: float = 0.0
+
+    @property
+    def index(self) -> int:
+        """Return the number of the share slot, -1 without one."""
+        return self.slot.index if self.slot else -1
 
 
 class Fleet:
-    """Hosts, their messages and one virtual clock."""
+    """Hosts, their messages and one virtual clock.
+
+    :ivar deliveries: returns the extra delays with which a message
+        arrives; none when it is lost, two when it arrives twice.
+    :ivar on_step: is told of each step in the life of a share.
+    """
 
     def __init__(
         self,
         environment: Environment,
         policy: Policy,
         workers: tuple[UpstreamRecord, ...] = (),
+        tick_s: float = TICK_S,
     ) -> None:
+        self.tick_s = tick_s
         self.environment = environment
         self.policy = policy
         self.workers = workers
@@ -107,7 +124,11 @@
         self.hosts: dict[str, Host] = {}
         self.cut: set[str] = set()
         self.questions = 0
-        self.on_loan: Callable[[Host], None] = lambda host: None
+        self.on_loan: Callable[[Host], None] = _ignore
+        self.on_step: Callable[[str, Host], None] = _ignore
+        self.deliveries: Callable[[str, Host, Host], Sequence[float]] = (
+            _deliver_once
+        )
         for domain, region, slots in DOMAINS:
             for _ in range(slots):
                 self._add(domain, region)
@@ -127,18 +148,34 @@
     def start(self) -> None:
         """Give each host its slot and start its timer."""
         for host in self.hosts.values():
-            self.apply(host)
-            tick = functools.partial(self._tick, host)
-            self.at(host.index * TICK_S / len(self.hosts), tick)
+            self.apply(host, self.environment.version)
+            self.start_timer(host)
+
+    def start_timer(self, host: Host) -> None:
+        """Let a host look regularly whether it should ask peers."""
+        offset_s = host.index * self.tick_s / len(self.hosts)
+        tick = functools.partial(self._tick, host, host.incarnation)
+        self.at(self.now + offset_s, tick)
+
+    def clock(self, host: Host) -> float:
+        """Return the reading of a host's clock."""
+        return self.now * host.clock_rate
+
+    def awake(self, host: Host, action: Callable[[], None]) -> bool:
+        """Tell whether a host runs now; do the action later if paused."""
+        if self.now < host.paused_until:
+            self.at(host.paused_until, action)
+            return False
+        return host.alive
 
-    def apply(self, host: Host) -> None:
+    def apply(self, host: Host, settled_version: int) -> None:
         """Hand the state of the agent to a host."""
         host.holdings.apply(
             self.environment,
             self.workers,
             host.slot,
-            self.environment.version,
-            self.now,
+            settled_version,
+            self.clock(host),
         )
 
     def take(
@@ -149,17 +186,25 @@
         waited: bool = False,
     ) -> Taken | Refused:
         """Try to take one, and ask peers at once when that fails."""
-        result = host.holdings.try_take(total, 1, self.now, waited=waited)
-        if isinstance(result, Refused) and not waited:
+        now = self.clock(host)
+        result = host.holdings.try_take(total, 1, now, waited=waited)
+        if isinstance(result, Taken):
+            self.on_step('take', host)
+        elif not waited:
             self.ask(host)
         return result
 
     def ask(self, host: Host) -> None:
         """Send what a host wishes to ask now."""
-        wishes = host.holdings.wishes(self.now, self.peers(host))
+        wishes = host.holdings.wishes(self.clock(host), self.peers(host))
+        self.send(host, wishes)
+
+    def send(self, host: Host, wishes: list[tuple[str, Borrow]]) -> None:
+        """Send questions to peers."""
         for name, borrow in wishes:
             self.questions += 1
-            _Call(self, host, self.hosts[name], borrow, self.now).start()
+            sent_at = self.clock(host)
+            _Call(self, host, self.hosts[name], borrow, sent_at).start()
 
     def peers(self, host: Host) -> list[str]:
         """Return the peers that a host believes reachable, nearest first."""
@@ -183,12 +228,13 @@
         holdings = Holdings(name, 1, self.policy)
         total = sum(slots for _, _, slots in DOMAINS)
         slot = ShareSlot(index, total, LEASE_S, 0.0)
-        self.hosts[name] = Host(name, index, domain, region, holdings, slot)
+        self.hosts[name] = Host(name, domain, region, holdings, slot)
 
-    def _tick(self, host: Host) -> None:
-        if host.alive:
+    def _tick(self, host: Host, incarnation: int) -> None:
+        tick = functools.partial(self._tick, host, incarnation)
+        if host.incarnation == incarnation and self.awake(host, tick):
             self.ask(host)
-            self.at(self.now + TICK_S, functools.partial(self._tick, host))
+            self.at(self.now + self.tick_s, tick)
 
 
 @dataclasses.dataclass
@@ -200,34 +246,63 @@
     peer: Host
     borrow: Borrow
     sent_at: float
+    open: bool = True
 
     def start(self) -> None:
         """Send the question."""
-        self.fleet.at(self.sent_at + self._one_way_s(), self._arrive)
+        fleet = self.fleet
+        fleet.at(fleet.now + CALL_TIMEOUT_S, self._fail)
+        for delay_s in fleet.deliveries('question', self.host, self.peer):
+            fleet.at(fleet.now + self._one_way_s() + delay_s, self._arrive)
+        step = 'ask'
+        if self.borrow.renews:
+            step = 'renew' if self.borrow.duration_s else 'give back'
+        fleet.on_step(step, self.host)
 
     def _one_way_s(self) -> float:
         return latency_s(self.host, self.peer)
 
     def _arrive(self) -> None:
-        now = self.fleet.now
-        if not self.fleet.reach(self.host, self.peer):
-            self.fleet.at(self.sent_at + CALL_TIMEOUT_S, self._fail)
+        fleet = self.fleet
+        if not fleet.awake(self.peer, self._arrive):
+            return
+        if not fleet.reach(self.host, self.peer):
             return
-        loans = self.peer.holdings.lend(self.borrow, now)
+        loans = self.peer.holdings.lend(self.borrow, fleet.clock(self.peer))
         receive = functools.partial(self._receive, loans)
-        self.fleet.at(now + self._one_way_s(), receive)
+        for delay_s in fleet.deliveries('answer', self.peer, self.host):
+            fleet.at(fleet.now + self._one_way_s() + delay_s, receive)
+        if loans.loans:
+            fleet.on_step('lend', self.peer)
+            fleet.on_step('answer in flight', self.host)
 
     def _receive(self, loans: Loans) -> None:
-        if not self.fleet.reach(self.host, self.peer):
-            self.fleet.at(self.sent_at + CALL_TIMEOUT_S, self._fail)
+        fleet = self.fleet
+        receive = functools.partial(self._receive, loans)
+        if not fleet.awake(self.host, receive):
             return
-        now = self.fleet.now
+        if not fleet.reach(self.host, self.peer):
+            return
+        now = fleet.clock(self.host)
+        self.open = False
         self.host.holdings.receive(self.borrow, loans, self.sent_at, now)
         if loans.loans:
-            self.fleet.on_loan(self.host)
+            fleet.on_step('receive', self.host)
+            fleet.on_loan(self.host)
 
     def _fail(self) -> None:
-        self.host.holdings.failed(self.borrow, self.fleet.now)
+        fleet = self.fleet
+        if fleet.awake(self.host, self._fail) and self.open:
+            self.open = False
+            self.host.holdings.failed(self.borrow, fleet.clock(self.host))
+
+
+def _ignore(*_: object) -> None:
+    """Ignore an event."""
+
+
+def _deliver_once(kind: str, sender: Host, receiver: Host) -> Sequence[float]:
+    return (0.0,)
 
 
 def latency_s(host: Host, peer: Host) -> float:
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -188,7 +188,7 @@
         trace = self.trace
         fleet = self.fleet
         for host in self.hosts:
-            fleet.apply(host)
+            fleet.apply(host, 1)
         fleet.run(trace.starts_at - WARM_UP_S)
         fleet.start()
         third_s = DURATION_S / 3
--- a/egretmill/quota/ownership.py
+++ b/egretmill/quota/ownership.py
@@ -54,6 +54,15 @@
         return self.shares[name]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Current:
+    """A share and the time for which it holds."""
+
+    share: Share
+    since: float
+    until: float
+
+
 class Ownership:
     """The share slot, its lease and the versions that bind its shares."""
 
@@ -61,6 +70,7 @@
         self.slot: ShareSlot | None = None
         self.totals: Totals | None = None
         self.bounds: list[_Bound] = []
+        self.current: dict[str, _Current] = {}
 
     def apply(
         self,
@@ -74,11 +84,12 @@
         :returns: whether the owned share of a rate may have changed.
         """
         before = self._binding()
+        self.current.clear()
         if _is_other(self.slot, slot):
             self.bounds = [_Bound(UNKNOWN_VERSION, None)]
         self.slot = slot
         self._add(totals)
-        self._settle(settled_version, now)
+        _settle(self.bounds, settled_version, now)
         known = [bound.totals for bound in self.bounds if bound.totals]
         hold_s = max(_longest_hold_s(totals) for totals in known)
         self.bounds = [
@@ -88,14 +99,12 @@
 
     def share(self, name: str, at: float) -> Share:
         """Return the owned share of a total at a time."""
-        if self.slot is None or at >= self._last_start(name):
-            return NOTHING
-        share = self.bounds[-1].share(name, self.slot.index)
-        for bound in self.bounds[:-1]:
-            if bound.totals is None:
-                share = self._after_unknown(bound, name, share, at)
-            elif at < bound.lifted_at + self.hold_s(name):
-                share = share.lowest(bound.share(name, self.slot.index))
+        found = self.current.get(name)
+        if found and found.since <= at < found.until:
+            return found.share
+        share = self._share_at(name, at)
+        until = self.next_change(name, at)
+        self.current[name] = _Current(share, at, until)
         return share
 
     def next_change(self, name: str, after: float) -> float:
@@ -132,6 +141,17 @@
         left_s = max(0.0, self.lease_until() - now)
         return left_s - margin_s(left_s)
 
+    def _share_at(self, name: str, at: float) -> Share:
+        if self.slot is None or at >= self._last_start(name):
+            return NOTHING
+        share = self.bounds[-1].share(name, self.slot.index)
+        for bound in self.bounds[:-1]:
+            if bound.totals is None:
+                share = self._after_unknown(bound, name, share, at)
+            elif at < bound.lifted_at + self.hold_s(name):
+                share = share.lowest(bound.share(name, self.slot.index))
+        return share
+
     def _binding(self) -> tuple[object, ...]:
         place = None
         if self.slot is not None:
@@ -153,15 +173,6 @@
         if self.bounds[-1].version < version:
             self.bounds.append(_Bound(version, totals))
 
-    def _settle(self, settled_version: int, now: float) -> None:
-        newest = self.bounds[-1].version
-        known = {bound.version for bound in self.bounds}
-        if settled_version < newest and settled_version not in known:
-            return
-        for bound in self.bounds[:-1]:
-            if bound.version < settled_version:
-                bound.lifted_at = min(bound.lifted_at, now)
-
     def _after_unknown(
         self,
         bound: _Bound,
@@ -197,6 +208,20 @@
     return (old.index, old.acquired_at) != (new.index, new.acquired_at)
 
 
+def _settle(
+    bounds: list[_Bound],
+    settled_version: int,
+    now: float,
+) -> None:
+    newest = bounds[-1].version
+    known = {bound.version for bound in bounds}
+    if settled_version < newest and settled_version not in known:
+        return
+    for bound in bounds[:-1]:
+        if bound.version < settled_version:
+            bound.lifted_at = min(bound.lifted_at, now)
+
+
 def _use_upstreams(
     bounds: list[_Bound],
     upstreams: tuple[UpstreamRecord, ...],
--- a/egretmill/quota/totals.py
+++ b/egretmill/quota/totals.py
@@ -86,13 +86,7 @@
 
     def time_limit_s(self, name: str) -> float:
         """Return how long a request of a slots total may run, in seconds."""
-        service = name.split('/')[1]
-        limits = [
-            route.time_limit_ms
-            for route in self.environment.document.routes
-            if route.service == service
-        ]
-        return max(limits, default=0) / 1000
+        return self._limits.get(name.split('/')[1], 0.0)
 
     def names(self) -> Iterator[str]:
         """Yield the names of all totals."""
@@ -153,6 +147,14 @@
             found[second, first] = row.megabits_per_s
         return found
 
+    @functools.cached_property
+    def _limits(self) -> Mapping[str, float]:
+        found: dict[str, float] = {}
+        for route in self.environment.document.routes:
+            limit_s = route.time_limit_ms / 1000
+            found[route.service] = max(limit_s, found.get(route.service, 0))
+        return found
+
     @functools.cached_property
     def _capacity(self) -> Mapping[tuple[str, str], int]:
         found: dict[tuple[str, str], int] = {}
--- /dev/null
+++ b/tests/quota/test_holdings.py
@@ -0,0 +1,252 @@
+"""Rules of one host's holdings, each with the failure that it prevents."""
+
+import pytest
+
+from bench.quota_fleet import document, upstreams
+from egretmill.quota import Holdings, Refused, Taken
+from egretmill.quota.division import NOTHING
+from egretmill.wire.messages import Loans, ShareSlot
+
+ACCOUNT = 'account/a'
+SLOTS = 'slots/rota/tbilisi-a'
+WORKERS = upstreams(7, 4)
+LEASE_S = 100.0
+LIMIT_S = 1.0
+#: Loans of 2 s and their margin have ended by then.
+READY_S = 4.0
+
+
+def environment(version=1, rate=14.0, burst=14):
+    """Return a version of the document."""
+    return document({'a': (rate, burst)}, version, int(LIMIT_S * 1000))
+
+
+def host(index, name, lease_s=LEASE_S):
+    """Return holdings that may use what their slot owns."""
+    holdings = Holdings(name, 1)
+    slot = ShareSlot(index, 7, lease_s, 0.0)
+    holdings.apply(environment(), WORKERS, slot, 1, 0.0)
+    holdings.available(SLOTS, 0.0)
+    return holdings
+
+
+@pytest.fixture
+def borrower():
+    """Return a host outside of the domain of the site."""
+    return host(3, 'borrower')
+
+
+@pytest.fixture
+def lender():
+    """Return a host in the domain of the site."""
+    return host(0, 'lender')
+
+
+def drain(holdings, total, now):
+    """Take until nothing is left; the last request stays unmet."""
+    taken = 0
+    while isinstance(holdings.try_take(total, 1, now), Taken):
+        taken += 1
+    return taken
+
+
+def ask(holdings, total, now):
+    """Return the question about a total."""
+    drain(holdings, total, now)
+    wishes = holdings.wishes(now, ['lender'])
+    return next(row for _, row in wishes if row.total == total)
+
+
+def test_owned_share_is_taken_without_a_peer(borrower):
+    """Guards against a round trip while the own share suffices."""
+    assert borrower.try_take(ACCOUNT, 1, READY_S) == Taken(ACCOUNT, 1)
+    assert not borrower.wishes(READY_S, ['lender'])
+
+
+def test_refusal_says_when_to_try_again(borrower):
+    """Guards against callers that poll, or wait in vain."""
+    drain(borrower, ACCOUNT, READY_S)
+    refused = borrower.try_take(ACCOUNT, 1, READY_S, waited=True)
+    assert refused == Refused(ACCOUNT, pytest.approx(0.5))
+    assert borrower.try_take(ACCOUNT, 9, READY_S).after_s is None
+    assert borrower.try_take('account/none', 1, READY_S).after_s is None
+
+
+def test_loan_serves_a_waiting_request(borrower, lender):
+    """Guards against a refusal while a peer has tokens."""
+    borrow = ask(borrower, ACCOUNT, READY_S)
+    loans = lender.lend(borrow, READY_S)
+    borrower.receive(borrow, loans, READY_S, READY_S)
+    again = borrower.try_take(ACCOUNT, 1, READY_S, waited=True)
+    assert isinstance(again, Taken)
+    assert lender.available(ACCOUNT, READY_S) < 2
+
+
+def test_loan_moves_tokens_and_makes_none(borrower, lender):
+    """Guards against tokens that both sides of a loan may spend."""
+    drain(lender, ACCOUNT, READY_S)
+    now = READY_S + 0.75
+    borrow = ask(borrower, ACCOUNT, now)
+    held = [lender.available(ACCOUNT, now), borrower.available(ACCOUNT, now)]
+    loans = lender.lend(borrow, now)
+    borrower.receive(borrow, loans, now, now)
+    after = [lender.available(ACCOUNT, now), borrower.available(ACCOUNT, now)]
+    assert int(loans.loans[0].tokens) == 1
+    assert sum(after) == pytest.approx(sum(held))
+
+
+@pytest.mark.parametrize('total', [ACCOUNT, SLOTS])
+def test_question_that_arrives_twice_gets_one_loan(borrower, lender, total):
+    """Guards against a second loan that nobody receives."""
+    borrow = ask(borrower, total, READY_S)
+    first = lender.lend(borrow, READY_S)
+    left = lender.available(total, READY_S)
+    assert first.loans
+    assert lender.lend(borrow, READY_S) == first
+    assert lender.available(total, READY_S) == left
+
+
+@pytest.mark.parametrize('total', [ACCOUNT, SLOTS])
+def test_answer_counts_once(borrower, lender, total):
+    """Guards against a duplicated answer that adds tokens or slots."""
+    borrow = ask(borrower, total, READY_S)
+    loans = lender.lend(borrow, READY_S)
+    borrower.receive(borrow, loans, READY_S, READY_S)
+    held = borrower.available(total, READY_S)
+    borrower.receive(borrow, loans, READY_S, READY_S)
+    assert held >= 1
+    assert borrower.available(total, READY_S) == held
+
+
+@pytest.mark.parametrize('total', [ACCOUNT, SLOTS])
+def test_late_answer_is_not_used(borrower, lender, total):
+    """Guards against a part that the lender uses again."""
+    borrow = ask(borrower, total, READY_S)
+    loans = lender.lend(borrow, READY_S)
+    before = borrower.owned(total)
+    late = READY_S + borrow.duration_s
+    borrower.receive(borrow, loans, READY_S, late)
+    assert not borrower.holdings[total].borrowed.by_id
+    assert borrower.owned(total) == before
+
+
+def test_answer_to_another_question_is_not_used(borrower, lender):
+    """Guards against crossed answers, whose end would be miscounted."""
+    first = ask(borrower, ACCOUNT, READY_S)
+    loans = lender.lend(first, READY_S)
+    borrower.failed(first, READY_S + 1)
+    second = ask(borrower, ACCOUNT, READY_S + 2)
+    borrower.receive(second, loans, READY_S + 2, READY_S + 2)
+    assert not borrower.holdings[ACCOUNT].borrowed.by_id
+
+
+def test_peer_that_said_no_is_not_asked_at_once(borrower):
+    """Guards against a storm of questions while all are short."""
+    borrow = ask(borrower, ACCOUNT, READY_S)
+    none = Loans((), borrow.borrow_id)
+    borrower.receive(borrow, none, READY_S, READY_S)
+    drain(borrower, ACCOUNT, READY_S)
+    assert not borrower.wishes(READY_S + 0.05, ['lender'])
+    assert borrower.wishes(READY_S + 0.15, ['lender'])
+
+
+def test_several_peers_are_asked_at_once(borrower):
+    """Guards against a wait for one peer after the other."""
+    drain(borrower, SLOTS, READY_S)
+    for _ in range(4):
+        borrower.try_take(SLOTS, 1, READY_S)
+    wishes = borrower.wishes(READY_S, ['lender', 'other'])
+    assert {peer for peer, _ in wishes} == {'lender', 'other'}
+
+
+@pytest.mark.parametrize('total', [ACCOUNT, SLOTS])
+def test_nothing_is_admitted_after_the_lease(total):
+    """Guards against a paused host whose slot another host has."""
+    short = host(3, 'short', lease_s=10.0)
+    limit_s = LIMIT_S if total == SLOTS else 0.0
+    assert short.available(total, 10.0 - limit_s - 0.01) > 0
+    assert not short.available(total, 10.0 - limit_s)
+
+
+def test_loan_ends_before_the_lease(borrower):
+    """Guards against a loan that outlives the lender's own share."""
+    left_s = 0.2
+    short = host(0, 'short', lease_s=READY_S + left_s)
+    borrow = ask(borrower, ACCOUNT, READY_S)
+    loans = short.lend(borrow, READY_S)
+    assert loans.loans
+    assert loans.loans[0].duration_s < left_s
+
+
+def test_lent_slots_wait_for_requests_that_may_run(borrower, lender):
+    """Guards against a lender that reuses a slot of a silent borrower."""
+    owned = lender.available(SLOTS, READY_S)
+    borrow = ask(borrower, SLOTS, READY_S)
+    loans = lender.lend(borrow, READY_S)
+    borrower.receive(borrow, loans, READY_S, READY_S)
+    last_start = READY_S + borrow.duration_s - LIMIT_S
+    assert isinstance(borrower.try_take(SLOTS, 1, last_start), Taken)
+    assert isinstance(borrower.try_take(SLOTS, 1, last_start + 0.1), Refused)
+    runs_until = last_start + LIMIT_S
+    assert lender.available(SLOTS, runs_until) < owned
+    assert lender.available(SLOTS, runs_until + 0.2) == owned
+
+
+def test_slots_in_use_are_not_given_back(borrower, lender):
+    """Guards against two requests on one slot at shutdown."""
+    borrow = ask(borrower, SLOTS, READY_S)
+    loans = lender.lend(borrow, READY_S)
+    borrower.receive(borrow, loans, READY_S, READY_S)
+    used = drain(borrower, SLOTS, READY_S)
+    assert used
+    assert not borrower.return_all(READY_S)
+    borrower.release(SLOTS, used, READY_S + 0.5)
+    returned = borrower.return_all(READY_S + 0.5)
+    owned = lender.available(SLOTS, READY_S + 0.5)
+    for _, back in returned:
+        lender.lend(back, READY_S + 0.5)
+    assert lender.available(SLOTS, READY_S + 0.5) == owned + used
+
+
+def test_restarted_host_waits_and_starts_empty():
+    """Guards against what the earlier process has lent or spent."""
+    again = host(0, 'again')
+    assert not again.available(ACCOUNT, 2.1)
+    assert not again.available(SLOTS, 2.1)
+    assert again.available(ACCOUNT, 2.6) == pytest.approx(1, abs=0.1)
+    owned = 9
+    assert again.available(SLOTS, 2.2) == owned - owned // 2
+    assert again.available(SLOTS, 2.2 + LIMIT_S) == owned
+
+
+def test_share_grows_only_when_settled(lender):
+    """Guards against an excess while hosts have different versions."""
+    slot = ShareSlot(0, 7, LEASE_S, 0.0)
+    lender.apply(environment(), WORKERS, slot, 1, READY_S)
+    before = lender.owned(ACCOUNT)
+    raised = environment(2, 28.0, 28)
+    lender.apply(raised, WORKERS, slot, 1, READY_S)
+    assert lender.owned(ACCOUNT) == before
+    lender.apply(raised, WORKERS, slot, 2, READY_S)
+    lender.apply(raised, WORKERS, slot, 2, READY_S + 2.0)
+    assert lender.owned(ACCOUNT) == before
+    lender.apply(raised, WORKERS, slot, 2, READY_S + 2.2)
+    assert lender.owned(ACCOUNT).amount == 2 * before.amount
+
+
+def test_lowered_total_is_in_force_at_once(lender):
+    """Guards against an account that keeps a rate it has lost."""
+    lowered = environment(2, 7.0, 7)
+    slot = ShareSlot(0, 7, LEASE_S, 0.0)
+    lender.apply(lowered, WORKERS, slot, 1, READY_S)
+    assert int(lender.owned(ACCOUNT).amount) == 1
+    assert lender.available(ACCOUNT, READY_S) <= 1
+    lender.apply(environment(), WORKERS, slot, 1, READY_S)
+    assert int(lender.owned(ACCOUNT).amount) == 1
+
+
+def test_lost_slot_owns_nothing(lender):
+    """Guards against a host that serves after it has lost its slot."""
+    lender.apply(environment(), WORKERS, None, 1, READY_S)
+    assert lender.owned(ACCOUNT) == NOTHING
+    assert not lender.available(ACCOUNT, READY_S)
--- /dev/null
+++ b/tests/quota/test_interleavings.py
@@ -0,0 +1,419 @@
+"""Limits hold under every order of calls, messages, faults and pauses.
+
+Hosts act only when a step says so, so any two steps may lie as far apart as
+a pause does. Messages stay in the mail and may be delivered at any time, in
+any order, several times, or never.
+"""
+
+import dataclasses
+import functools
+
+import hypothesis
+from hypothesis import strategies as st
+
+from bench.quota_fleet import document, upstreams
+from egretmill.quota import Holdings, Taken
+from egretmill.wire.messages import Borrow, Loans, ShareSlot
+
+SLOT_COUNT = 7
+#: One host more than slots, so that slots change hands.
+HOSTS = tuple(f'entry-{number}' for number in range(SLOT_COUNT + 1))
+ACCOUNT = 'account/a'
+SLOTS = 'slots/rota/tbilisi-a'
+TOTALS = ((14.0, 14), (28.0, 28), (7.0, 7))
+LIMIT_S = 1.0
+LEASE_S = 6.0
+LOAN_HOLD_S = 2.2
+READY_S = 4.0
+FOREVER = float('inf')
+CLOCK_ERROR = 0.0004
+#: These hosts have callers and borrow.
+BUSY_HOSTS = 3
+WORKERS = upstreams(7, 4)
+ROUNDING = 1e-6
+
+
+@functools.cache
+def environment(version):
+    """Return a version; totals of versions take turns."""
+    total = TOTALS[(version - 1) % len(TOTALS)]
+    return document({'a': total}, version, int(LIMIT_S * 1000))
+
+
+@dataclasses.dataclass
+class Process:
+    """A host's current process and its requests in flight."""
+
+    name: str
+    holdings: Holdings
+    clock_rate: float
+    slot: ShareSlot | None = None
+    incarnation: int = 1
+    #: True end of each request that it has not released.
+    running: list[float] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Mail:
+    """A question and, once given, an answer; either may be on the way."""
+
+    sender: str
+    receiver: str
+    borrow: Borrow
+    sent_at: float
+    loans: Loans | None = None
+
+
+class Bounds:
+    """Totals in force, and the meter of all admissions.
+
+    :ivar totals: totals and until when they bind, the newest last.
+    """
+
+    def __init__(self):
+        self.totals = [(TOTALS[0], FOREVER)]
+        self.level = 0.0
+        self.at = 0.0
+
+    def settle(self, version, now):
+        """All holders have applied a version; older loans run out."""
+        total, _ = self.totals.pop()
+        self.totals.append((total, now + LOAN_HOLD_S))
+        newest = TOTALS[(version - 1) % len(TOTALS)]
+        self.totals.append((newest, FOREVER))
+
+    def drain(self, now):
+        """Let the meter drain; a lowered total binds new windows only."""
+        while self.totals[0][1] <= now:
+            lowered = self.totals[0][0] > max(row for row, _ in self.totals[1:])
+            self._drain_until(self.totals[0][1])
+            self.totals.pop(0)
+            if lowered:
+                self.level = 0.0
+        self._drain_until(now)
+
+    def admit(self, now):
+        """Count a request against rate x time + burst."""
+        self.drain(now)
+        self.level += 1
+        assert self.level <= self.most()[1] + ROUNDING
+
+    def most(self):
+        """Return the highest rate and burst that still bind."""
+        return max(total for total, _ in self.totals)
+
+    def _drain_until(self, until):
+        # Clocks that run fast admit as much more.
+        gone = (until - self.at) * self.most()[0] * (1 + CLOCK_ERROR)
+        self.level = max(0.0, self.level - gone)
+        self.at = max(until, self.at)
+
+
+class Platform:
+    """The rows of the share slots and the versions.
+
+    :ivar rows: holder and end of the lease of each slot.
+    """
+
+    def __init__(self):
+        self.version = 1
+        self.settled = 1
+        self.rows = {}
+        self.applied = {}
+
+    def settle(self):
+        """Tell whether all holders have now applied one newer version."""
+        holders = {name for name, _ in self.rows.values()}
+        versions = {
+            version for name, version in self.applied.items() if name in holders
+        }
+        if len(versions) != 1 or max(versions) <= self.settled:
+            return False
+        self.settled = max(versions)
+        return True
+
+
+def parts_of(host):
+    """Return all that a host has lent and borrowed."""
+    parts = []
+    for holding in host.holdings.holdings.values():
+        parts.extend([*holding.lent, *holding.borrowed])
+    return parts
+
+
+class World:
+    """All hosts, their mail and the limits.
+
+    Methods that begin with ``do_`` are steps.
+    """
+
+    def __init__(self):
+        self.now = 0.0
+        self.platform = Platform()
+        self.bounds = Bounds()
+        self.mail = []
+        #: Requests that run at upstreams: their true ends.
+        self.in_flight = []
+        self.lent = 0
+        self.hosts = [
+            Process(name, Holdings(name, 1), 1 + (-1) ** index * CLOCK_ERROR)
+            for index, name in enumerate(HOSTS)
+        ]
+        for index, host in enumerate(self.hosts):
+            self.apply(host)
+            self.do_acquire(index, index)
+        for _ in range(2):
+            self.pass_time(READY_S / 2)
+            self.do_renew_all(0, 0)
+
+    def clock(self, host):
+        """Return the host's reading of the time."""
+        return self.now * host.clock_rate
+
+    def pass_time(self, length_s):
+        """Let time pass."""
+        self.now += length_s
+        self.in_flight = [end for end in self.in_flight if end > self.now]
+
+    def apply(self, host):
+        """The agent hands its state to the entry program."""
+        platform = self.platform
+        platform.applied[host.name] = platform.version
+        if platform.settle():
+            self.bounds.settle(platform.settled, self.now)
+        host.holdings.apply(
+            environment(platform.version),
+            WORKERS,
+            host.slot,
+            platform.settled,
+            self.clock(host),
+        )
+
+    def host(self, name):
+        """Return a host by name."""
+        return self.hosts[HOSTS.index(name)]
+
+    def some_mail(self, number):
+        """Return a message, a recent one for a small number."""
+        return self.mail[-1 - number % len(self.mail)]
+
+    def check(self):
+        """Check what the hosts may use at this moment."""
+        self.bounds.drain(self.now)
+        rate, burst = self.bounds.most()
+        buckets = [self._bucket(host) for host in self.hosts]
+        assert sum(row.level.amount for row in buckets) <= rate + ROUNDING
+        assert sum(row.level.capacity for row in buckets) <= burst + ROUNDING
+        # All of it could be admitted at this moment.
+        tokens = sum(row.tokens for row in buckets)
+        assert tokens + self.bounds.level <= burst + ROUNDING
+        slots = sum(
+            host.holdings.available(SLOTS, self.clock(host))
+            for host in self.hosts
+        )
+        in_flight = len(self.in_flight)
+        assert slots + in_flight <= sum(row.slots for row in WORKERS)
+
+    def receive(self, mail, loans):
+        """An answer arrives where the answer to ``mail`` is expected."""
+        host = self.host(mail.sender)
+        now = self.clock(host)
+        host.holdings.receive(mail.borrow, loans, mail.sent_at, now)
+
+    def end_first(self, host):
+        """The oldest request of a host ends."""
+        end = host.running.pop(0)
+        if end in self.in_flight:
+            self.in_flight.remove(end)
+
+    def _bucket(self, host):
+        host.holdings.available(ACCOUNT, self.clock(host))
+        return host.holdings.holdings[ACCOUNT].bucket
+
+
+class Steps(World):
+    """The steps that a sequence is made of."""
+
+    def do_take(self, first, second):
+        """Requests ask for their account's rate and for a slot."""
+        host = self.hosts[first % BUSY_HOSTS]
+        now = self.clock(host)
+        for _ in range(1 + second % 8):
+            if isinstance(host.holdings.try_take(ACCOUNT, 1, now), Taken):
+                self.bounds.admit(self.now)
+            if isinstance(host.holdings.try_take(SLOTS, 1, now), Taken):
+                end = self.now + LIMIT_S / host.clock_rate
+                host.running.append(end)
+                self.in_flight.append(end)
+
+    def do_release(self, first, second):
+        """A request ends and frees its slot."""
+        host = self.hosts[first % BUSY_HOSTS]
+        if host.running:
+            self.end_first(host)
+            host.holdings.release(SLOTS, 1, self.clock(host))
+
+    def do_ask(self, first, second):
+        """A host asks its peers."""
+        host = self.hosts[first % BUSY_HOSTS]
+        peers = [peer for peer in HOSTS if peer != host.name]
+        self._post(host, host.holdings.wishes(self.clock(host), peers))
+
+    def do_return(self, first, second):
+        """A host gives back what it has borrowed."""
+        host = self.hosts[first % BUSY_HOSTS]
+        self._post(host, host.holdings.return_all(self.clock(host)))
+        host.holdings.closing = False
+
+    def do_give_up(self, first, second):
+        """A question has had no answer for too long."""
+        if self.mail:
+            mail = self.some_mail(first)
+            host = self.host(mail.sender)
+            host.holdings.failed(mail.borrow, self.clock(host))
+
+    def do_deliver(self, first, second):
+        """A question or an answer arrives; it may arrive again."""
+        if self.mail:
+            self.deliver(self.some_mail(first))
+
+    def deliver(self, mail):
+        """Deliver a question or an answer."""
+        if mail.loans is None:
+            lender = self.host(mail.receiver)
+            loans = lender.holdings.lend(mail.borrow, self.clock(lender))
+            self.lent += len(loans.loans)
+            self.mail.append(dataclasses.replace(mail, loans=loans))
+        else:
+            self.receive(mail, mail.loans)
+
+    def do_borrow(self, first, second):
+        """A busy host asks all peers; some answers are not delivered."""
+        self.do_take(first, 7)
+        before = len(self.mail)
+        self.do_ask(first, 0)
+        for number, mail in enumerate(self.mail[before:]):
+            self.deliver(mail)
+            if not second >> number & 1:
+                self.deliver(self.mail[-1])
+
+    def do_cross(self, first, second):
+        """An answer arrives where another one is expected."""
+        if self.mail:
+            other = self.some_mail(second)
+            if other.loans is not None:
+                self.receive(self.some_mail(first), other.loans)
+
+    def do_wait(self, first, second):
+        """Time passes."""
+        self.pass_time((0.01, 0.05, 0.3, 1.0, 2.05, 3.2)[second % 6])
+
+    def do_wait_for_end(self, first, second):
+        """Time passes until just after or before a part's end."""
+        early_s = (second % 2) * 0.002
+        ends = [
+            part.ends_at / host.clock_rate - early_s + 0.001
+            for host in self.hosts
+            for part in parts_of(host)
+        ]
+        later = sorted(end for end in ends if end > self.now)
+        if later:
+            self.pass_time(later[first % min(3, len(later))] - self.now)
+
+    def _post(self, host, wishes):
+        sent_at = self.clock(host)
+        for receiver, borrow in wishes:
+            self.mail.append(Mail(host.name, receiver, borrow, sent_at))
+
+
+class AllSteps(Steps):
+    """Steps of platform and processes as well."""
+
+    def do_promote(self, first, second):
+        """A version is promoted."""
+        self.platform.version += 1
+
+    def do_acquire(self, first, second):
+        """A host takes a slot whose lease has ended."""
+        host = self.hosts[first % len(HOSTS)]
+        index = second % SLOT_COUNT
+        _, until = self.platform.rows.get(index, ('', 0.0))
+        if host.slot is not None or until > self.now:
+            return
+        self.platform.rows[index] = (host.name, self.now + LEASE_S)
+        now = self.clock(host)
+        host.slot = ShareSlot(index, SLOT_COUNT, now + LEASE_S, now)
+        self.apply(host)
+
+    def do_renew(self, first, second):
+        """A host extends its lease, or learns that it has lost its slot."""
+        host = self.hosts[first % len(HOSTS)]
+        if host.slot is None:
+            return
+        index = host.slot.index
+        if self.platform.rows[index][0] == host.name:
+            self.platform.rows[index] = (host.name, self.now + LEASE_S)
+            until = self.clock(host) + LEASE_S
+            acquired_at = host.slot.acquired_at
+            host.slot = ShareSlot(index, SLOT_COUNT, until, acquired_at)
+        else:
+            host.slot = None
+        self.apply(host)
+
+    def do_renew_all(self, first, second):
+        """All hosts extend their leases."""
+        for number, _ in enumerate(HOSTS):
+            self.do_renew(number, 0)
+
+    def do_restart(self, first, second):
+        """A process is killed and another starts at the same address."""
+        number = first % len(HOSTS)
+        host = self.hosts[number]
+        while host.running:
+            self.end_first(host)
+        host.incarnation += 1
+        host.holdings = Holdings(host.name, host.incarnation)
+        slot = host.slot
+        host.slot = None
+        self.apply(host)
+        if slot and self.platform.rows[slot.index][0] == host.name:
+            self.platform.rows[slot.index] = ('', 0.0)
+            self.do_acquire(number, slot.index)
+
+
+KINDS = (
+    ('borrow', 'take', 'deliver', 'wait', 'wait_for_end') * 4
+    + ('ask',) * 3
+    + ('release', 'renew', 'renew_all') * 2
+    + ('promote', 'restart', 'acquire', 'give_up', 'cross', 'return')
+)
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(KINDS),
+        st.integers(0, 30),
+        st.integers(0, 30),
+    ),
+    min_size=40,
+    max_size=100,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=120, deadline=None)
+@hypothesis.given(steps)
+def test_limits_hold_under_any_interleaving(sequence):
+    """Guards against two hosts that use the same part of a total."""
+    world = AllSteps()
+    world.check()
+    for kind, first, second in sequence:
+        getattr(world, f'do_{kind}')(first, second)
+        world.check()
+
+
+def test_interleavings_reach_loans():
+    """Guards against a world in which nobody ever lends."""
+    world = AllSteps()
+    for _ in range(6):
+        world.do_borrow(0, 0)
+        world.do_wait(0, 1)
+        world.check()
+    assert world.lent >= SLOT_COUNT - 1
--- /dev/null
+++ b/tests/quota/test_matrix.py
@@ -0,0 +1,23 @@
+"""Every fault at every step of a share's life leaves the limits intact."""
+
+import itertools
+
+import pytest
+
+from bench.quota_matrix import FAULTS, STEPS, play
+
+CELLS = list(itertools.product(STEPS, FAULTS))
+#: Totals are raised by even seeds and lowered by odd ones.
+SEEDS = (2, 3)
+
+
+@pytest.mark.parametrize(('number', 'cell'), list(enumerate(CELLS)))
+def test_limits_hold(number, cell):
+    """Guards against an excess, and against a cell that shows nothing."""
+    step, fault = cell
+    # Neighbouring rows and columns differ in the seed.
+    seed = SEEDS[(number + number // len(FAULTS)) % len(SEEDS)]
+    found = play(step, fault, seed)
+    assert found.problems == ()
+    assert found.text
+    assert found.served_after > 0
