Refuse at a quarter of the time left instead of 0.3

Cause: at 150% the queue adds latency and serves nobody more.

Change: a request is refused when its expected wait is over 0.25 of the time that is left.

--- a/egretmill/admission/queue.py
+++ b/egretmill/admission/queue.py
@@ -20,7 +20,7 @@
 CREDIT = 20.0
 #: Part of the time until the latest admission that a request may expect to
 #: wait. A longer queue serves nobody more; it only delays every answer.
-WAIT_PART = 0.3
+WAIT_PART = 0.25
 #: Requests of an account that may wait until their deadline. With fewer, the
 #: queue of an account with a low rate runs empty and its turns are lost.
 FEWEST_WAITING = 4
