Keep requests that may not be repeated away from probes

Cause: a probe of an upstream that was left out is a real request. If the upstream is still silent, a request that may not be repeated ends with an unknown outcome.

Change: choose() takes idempotent (default True). With False, an upstream that is left out gets the request only 30 s after its probe was due, or when every upstream of the service is left out. Decisions name all sites that were looked at, and say when cold upstreams are used beyond their ramp.

Ruled out: never probing with such requests, because a service that has no others would lose the upstream for good.

--- a/egretmill/routing/health.py
+++ b/egretmill/routing/health.py
@@ -11,6 +11,10 @@
 #: First and longest time without probes; it doubles with each failed probe.
 FIRST_BACKOFF_S = 0.5
 LONGEST_BACKOFF_S = 8.0
+#: A request that may not be repeated is a probe only this much later: its
+#: outcome would be unknown if the upstream is still silent. It is one at all,
+#: so that an upstream returns that gets no other requests.
+UNSAFE_PROBE_DELAY_S = 30.0
 #: Largest exponent of the doubling, so that the power stays small.
 BACKOFF_STEPS = 5
 #: Weight of earlier samples after this time is 1/e.
@@ -38,11 +42,12 @@
     left_out: bool = False
     probing: bool = False
 
-    def admits(self, now: float) -> bool:
+    def admits(self, now: float, *, idempotent: bool = True) -> bool:
         """Tell whether a new request may be sent."""
         if not self.left_out:
             return True
-        return not self.probing and now >= self.retry_at
+        delay_s = 0 if idempotent else UNSAFE_PROBE_DELAY_S
+        return not self.probing and now >= self.retry_at + delay_s
 
     def begin(self) -> None:
         """Note a new request; it is the probe of an upstream left out."""
--- a/egretmill/routing/router.py
+++ b/egretmill/routing/router.py
@@ -72,27 +72,31 @@
         limits: Limits,
         now: float,
         exclude: frozenset[str] = NONE_TRIED,
+        idempotent: bool = True,
     ) -> Result[Decision, Failure]:
         """Choose a site and an upstream.
 
         :param exclude: names of upstreams that were tried; the choice is
             then a retry and is refused while the site of one of them sheds
             load as a whole.
+        :param idempotent: the request may be the probe of an upstream that
+            was left out.
         """
         if self._retry_meets_shedding(exclude, now):
             detail = 'no retry while the whole site sheds load'
             return Err(Failure(ErrorKind.UPSTREAM_SHED, detail))
         order = self._order(service, environment)
         reader = self._reader(service, environment, limits, now, exclude)
+        reader = dataclasses.replace(reader, idempotent=idempotent)
         seen: list[SiteView] = []
         site = self._choose_site(order, reader, seen)
-        if site is None and _ramp_binds(seen):
-            # A cold upstream is slow, but it serves more than a refusal.
-            reader = dataclasses.replace(reader, ramped=False)
+        while site is None:
+            relaxed = _relaxed(reader, seen)
+            if relaxed is None:
+                return Err(_failure(service, seen))
+            reader = relaxed
             seen.clear()
             site = self._choose_site(order, reader, seen)
-        if site is None:
-            return Err(_failure(service, seen))
         view = self._choose_upstream(service, site, now)
         decision = Decision(
             service,
@@ -102,7 +106,7 @@
             reader.preferred,
             reader.from_region,
             site.region,
-            _reasons(seen, site, view, now),
+            _reasons(seen, site, view, reader),
         )
         return Ok(decision)
 
@@ -271,24 +275,33 @@
     seen: list[SiteView],
     site: SiteView,
     view: UpstreamView,
-    now: float,
+    reader: SiteReader,
 ) -> tuple[str, ...]:
     passed = [
-        f'{other.name}: {other.verdict}'
+        f'{other.name}: {other.verdict}, {other.running}/{other.capacity}'
         for other in seen
-        if other is not site and other.verdict != SiteVerdict.OPEN
+        if other is not site
     ]
     taken = (
         f'{site.name}: {site.running}/{site.capacity} running, '
-        + f'{len(site.views)} candidates, load {view.load(now):.1f}, '
+        + f'{len(site.views)} candidates, load {view.load(reader.now):.1f}, '
         + f'latency {view.latency.mean_s * 1000:.1f} ms'
     )
-    return (*passed, taken)
+    if reader.ramped:
+        return (*passed, taken)
+    return (*passed, taken, 'cold upstreams beyond their ramp')
 
 
-def _ramp_binds(seen: list[SiteView]) -> bool:
+def _relaxed(reader: SiteReader, seen: list[SiteView]) -> SiteReader | None:
+    """Return a reader that passes over a rule, when only that rule binds."""
     verdicts = {site.verdict for site in seen}
-    return bool(verdicts & {SiteVerdict.REDUCED, SiteVerdict.BUSY})
+    if reader.ramped and verdicts & {SiteVerdict.REDUCED, SiteVerdict.BUSY}:
+        # A cold upstream is slow, but it serves more than a refusal.
+        return dataclasses.replace(reader, ramped=False)
+    if not reader.idempotent and verdicts == {SiteVerdict.NO_UPSTREAM}:
+        # Every upstream was left out; one of them may have returned.
+        return dataclasses.replace(reader, idempotent=True)
+    return None
 
 
 def _failure(service: str, seen: list[SiteView]) -> Failure:
--- a/egretmill/routing/sites.py
+++ b/egretmill/routing/sites.py
@@ -96,6 +96,7 @@
 class SiteReader:
     """Builds site views for one decision.
 
+    :param idempotent: the request may serve as a probe.
     :param ramped: count cold upstreams only as far as their ramp allows.
     """
 
@@ -106,6 +107,7 @@
     from_region: str
     now: float
     exclude: frozenset[str]
+    idempotent: bool = True
     ramped: bool = True
 
     def read(self, name: str, region: str, tier: Tier) -> SiteView:
@@ -133,7 +135,11 @@
         """Tell whether an upstream may get the request."""
         if view.record.name in self.exclude:
             return False
-        verdict = view.verdict(self.now, ramped=self.ramped)
+        verdict = view.verdict(
+            self.now,
+            ramped=self.ramped,
+            idempotent=self.idempotent,
+        )
         return verdict in {Verdict.USABLE, Verdict.STALLED}
 
     def _verdict(
--- a/egretmill/routing/upstreams.py
+++ b/egretmill/routing/upstreams.py
@@ -71,7 +71,7 @@
         self,
         upstream: str,
         running: int,
-        draining: bool,  # noqa: FBT001
+        draining: bool,
         received_at: float,
     ) -> None:
         """Store a load report (requests running for all hosts)."""
--- a/egretmill/routing/view.py
+++ b/egretmill/routing/view.py
@@ -78,14 +78,21 @@
     latency: Latency = dataclasses.field(default_factory=Latency)
     ramp: Ramp = dataclasses.field(default_factory=Ramp)
 
-    def verdict(self, now: float, *, ramped: bool = True) -> Verdict:
+    def verdict(
+        self,
+        now: float,
+        *,
+        ramped: bool = True,
+        idempotent: bool = True,
+    ) -> Verdict:
         """Tell whether the upstream may get a request and why not.
 
         :param ramped: keep to the ramp of a cold upstream.
+        :param idempotent: the request may serve as a probe.
         """
         if self.drains:
             return Verdict.DRAINING
-        if not self.health.admits(now):
+        if not self.health.admits(now, idempotent=idempotent):
             return self._left_out()
         if self.sheds(now):
             return Verdict.SHEDDING
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -120,6 +120,7 @@
         chosen = router.choose('board', env, limits, 1).unwrap()
         table.begin(chosen.upstream.name, 1)
     assert table.in_flight('board', fleet.LOCAL) == 4
+    assert 'cold upstreams beyond their ramp' in str(chosen)
 
 
 def test_spill_over_rises_with_use(table):
@@ -172,3 +173,18 @@
     failure = get_policy('fastest').unwrap_err()
     for name in POLICIES:
         assert name in failure.detail
+
+
+def test_unsafe_request_is_a_probe_only_when_nothing_else_is_left(table):
+    """Guards against unknown outcomes, and a service that stays out."""
+    env = fleet.environment()
+    limits = fleet.FakeLimits(table)
+    router = fleet.router(table)
+    failed = set()
+    for record in fleet.records():
+        chosen = router.choose('board', env, limits, 1.6, idempotent=False)
+        assert chosen.unwrap().upstream.name not in failed
+        table.begin(record.name, 1)
+        table.finish(record.name, Observation(0.01, 'refused'), 1)
+        failed.add(record.name)
+    assert router.choose('board', env, limits, 1.6, idempotent=False).is_ok()
--- a/tests/routing/test_upstreams.py
+++ b/tests/routing/test_upstreams.py
@@ -43,6 +43,15 @@
     assert table.views[NAME].limit(20) == 4
 
 
+def test_request_that_may_not_be_repeated_is_a_late_probe(table):
+    """Guards against unknown outcomes that an idempotent probe avoids."""
+    observe(table, 'refused', 1)
+    view = table.views[NAME]
+    assert view.verdict(2, idempotent=False) == Verdict.LEFT_OUT
+    assert view.verdict(2, idempotent=True) == Verdict.USABLE
+    assert view.verdict(40, idempotent=False) == Verdict.USABLE
+
+
 def test_timeout_of_a_short_deadline_is_no_failure(table):
     """Guards against impatient callers who take healthy upstreams out."""
     for now in range(1, 20):
