Let requests wait up to half of the time left

Change: the part is 0.5 and a parameter of the queue, because one organisation gives most weight to the worst-served account and the other to latency and wrongful refusals.

--- a/egretmill/admission/queue.py
+++ b/egretmill/admission/queue.py
@@ -19,8 +19,9 @@
 #: gets less than its fair share.
 CREDIT = 20.0
 #: Part of the time until the latest admission that a request may expect to
-#: wait. A longer queue serves nobody more; it only delays every answer.
-WAIT_PART = 0.25
+#: wait. Less lowers the latency in overload, more refuses fewer requests of
+#: small accounts (docs/decisions/admission-queue.md).
+WAIT_PART = 0.5
 #: Requests of an account that may wait until their deadline. With fewer, the
 #: queue of an account with a low rate runs empty and its turns are lost.
 FEWEST_WAITING = 4
@@ -33,10 +34,12 @@
     empty blocks its own flow; neither blocks the others.
 
     :param capacity: most entries over all services.
+    :param wait_part: longest expected wait as a part of the time left.
     """
 
-    def __init__(self, capacity: int) -> None:
+    def __init__(self, capacity: int, wait_part: float = WAIT_PART) -> None:
         self.capacity = capacity
+        self.wait_part = wait_part
         self.rings: dict[str, Ring] = {}
         self.queued: set[Waiting] = set()
         self.deadlines: list[tuple[float, int, Waiting]] = []
@@ -76,7 +79,7 @@
         heapq.heappush(self.deadlines, entry)
         patience_s = waiting.latest_at - now
         if len(flow.waiting) > FEWEST_WAITING:
-            patience_s *= WAIT_PART
+            patience_s *= self.wait_part
         if flow.wait_s(now) > patience_s:
             failure = flow.refusal('its turn would come too late')
             return [self._refuse(waiting, failure)]
