--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -32,6 +32,7 @@
 SIZES = (200_000, 800_000, 3_200_000)
 SITES = 250
 SEED = 11
+BATCH = 1000
 MICROSECONDS = 1_000_000
 MEGABYTE = 1_000_000
 V4_LIMIT = 1 << 32
@@ -79,12 +80,12 @@
         'blocks': size,
         'segments': blocks.v4.segment_count(),
         'table_mb': table,
-        'site_us': timed(blocks.site_of, clients),
+        **summary('site', batch_times(blocks.site_of, clients)),
         **measure_decisions(blocks, clients, 7),
         **measure_decisions(blocks, clients, 870),
         **measure_delta(blocks, size, rng),
         **measure_load(blocks),
-        'calibration_us': timed(calibrate, clients[:2000]),
+        **summary('calibration', batch_times(calibrate, clients[:20000])),
     }
 
 
@@ -105,10 +106,10 @@
         site = blocks.site_of(client)
         directory.answer('service-1', client, site)
 
-    cold = timed(decide, clients)
+    cold = batch_times(decide, clients)
     return {
-        f'cold_us_{hosts}_hosts': cold,
-        f'decision_us_{hosts}_hosts': timed(decide, clients),
+        f'cold_{hosts}_hosts_us': statistics.mean(cold),
+        **summary(f'decision_{hosts}_hosts', batch_times(decide, clients)),
     }
 
 
@@ -122,13 +123,28 @@
     return '.'.join(str(part) for part in number.to_bytes(4))
 
 
-def timed(call, clients: list[str]) -> float:
-    """Return microseconds of CPU per call."""
-    begin = time.process_time()
-    for client in clients:
-        call(client)
-    taken = time.process_time() - begin
-    return taken / len(clients) * MICROSECONDS
+def batch_times(call, clients: list[str]) -> list[float]:
+    """Return microseconds of CPU per call, for each batch of calls."""
+    found = []
+    for low in range(0, len(clients), BATCH):
+        batch = clients[low : low + BATCH]
+        begin = time.process_time()
+        for client in batch:
+            call(client)
+        taken = time.process_time() - begin
+        found.append(taken / len(batch) * MICROSECONDS)
+    return found
+
+
+def summary(name: str, times: list[float]) -> dict[str, float]:
+    """Return the median batch and the lowest one.
+
+    The lowest batch is the one least disturbed by other programs.
+    """
+    return {
+        f'{name}_us': statistics.median(times),
+        f'{name}_lowest_us': min(times),
+    }
 
 
 def measure_delta(
@@ -262,7 +278,8 @@
             str(empty_port),
         )
         try:
-            await compare(steer_port, empty_port, requests, steer.pid)
+            pids = {'lookup': steer.pid, 'empty': empty.pid}
+            await compare(steer_port, empty_port, requests, pids)
         finally:
             steer.kill()
             empty.kill()
@@ -274,7 +291,7 @@
     steer_port: int,
     empty_port: int,
     requests: int,
-    steer_pid: int,
+    pids: dict[str, int],
 ) -> None:
     """Alternate between both programs and print medians and rates."""
     urls = {
@@ -287,9 +304,12 @@
     medians: dict[str, list[float]] = {name: [] for name in urls}
     rates: dict[str, list[float]] = {name: [] for name in urls}
     turns = list(urls) * HTTP_RUNS
+    used = dict.fromkeys(urls, 0.0)
     while turns:
         name = turns.pop()
+        before = fleet.cpu_s(pids[name])
         times = await fleet.closed_loop(urls[name], requests)
+        used[name] += fleet.cpu_s(pids[name]) - before
         medians[name].append(statistics.median(times))
         rates[name].append(len(times) / sum(times))
     for name in urls:
@@ -297,7 +317,8 @@
         print(
             f'http: {name} median={median_us:.0f} us '
             f'rate={statistics.median(rates[name]):.0f}/s '
-            'on one connection'
+            f'on one connection, CPU of the server '
+            f'{used[name] / requests / HTTP_RUNS * MICROSECONDS:.0f} us'
         )
     ratios = [
         lookup / empty
@@ -313,7 +334,7 @@
         f'target {TARGET_HTTP_RATIO}); '
         f'target rate {TARGET_LOOKUPS_PER_S}/s'
     )
-    await open_loop(steer_port, steer_pid)
+    await open_loop(steer_port, pids['lookup'])
 
 
 async def open_loop(steer_port: int, steer_pid: int) -> None:
--- a/egretmill/lookup/blocks.py
+++ b/egretmill/lookup/blocks.py
@@ -21,6 +21,9 @@
 # Changes applied between two look-ups; about 10 us each.
 STEP_CHANGES = 64
 V6_SHIFT = 64
+# Plain numbers: the enum members of socket are slower to pass.
+AF_INET = int(socket.AF_INET)
+AF_INET6 = int(socket.AF_INET6)
 V4_MAPPED = b'\x00' * 10 + b'\xff\xff'
 
 
@@ -105,7 +108,7 @@
         :raises OSError: the text is no IPv4 or IPv6 address.
         """
         try:
-            packed = socket.inet_pton(socket.AF_INET, client)
+            packed = socket.inet_pton(AF_INET, client)
         except OSError:
             return self.site_of_v6(client)
         address = int.from_bytes(packed)
@@ -121,7 +124,7 @@
 
         :raises OSError: the text is no IPv6 address.
         """
-        packed = socket.inet_pton(socket.AF_INET6, client)
+        packed = socket.inet_pton(AF_INET6, client)
         if packed.startswith(V4_MAPPED):
             found = self.v4.site_at(int.from_bytes(packed[12:]))
         else:
--- a/egretmill/lookup/placement.py
+++ b/egretmill/lookup/placement.py
@@ -37,7 +37,8 @@
 HOSTS_OF_FIRST_DOMAIN = 4
 HOSTS_OF_OTHER_DOMAIN = 2
 UNSET = 65535
-HASH_LIMIT = 1 << 64
+# Above every hash plus one, so that no logarithm is 0.
+HASH_LIMIT = (1 << 64) * (1 + 1e-15)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +61,8 @@
     def __init__(self, members: tuple[Candidate, ...]) -> None:
         """Rank nothing yet."""
         self.members = members
+        self.keys = [member.name.encode() for member in members]
+        self.same_weight = len({member.weight for member in members}) == 1
         self.width = min(len(members), HOSTS_OF_FIRST_DOMAIN)
         self.ranks = array('H', [UNSET]) * (BUCKETS * self.width)
 
@@ -76,14 +79,26 @@
         """Rank by weighted rendezvous hashing."""
         if len(self.members) == 1:
             return [0]
-        scored = sorted(
-            (
-                (score(member, bucket), index)
-                for index, member in enumerate(self.members)
-            ),
+        hashes = [xxhash.xxh3_64_intdigest(key, bucket) for key in self.keys]
+        scores = hashes if self.same_weight else self.weighted(hashes)
+        order = sorted(
+            range(len(scores)),
+            key=scores.__getitem__,
             reverse=True,
         )
-        return [index for _, index in scored[: self.width]]
+        return order[: self.width]
+
+    def weighted(self, hashes: Sequence[int]) -> list[float]:
+        """Return the scores of members with weights.
+
+        ``-weight / log(u)`` with u uniform in (0, 1) makes the chance to
+        be the best proportional to the weight. It rises with u, so equal
+        weights need no logarithm.
+        """
+        return [
+            -member.weight / math.log((hashed + 1) / HASH_LIMIT)
+            for member, hashed in zip(self.members, hashes, strict=True)
+        ]
 
 
 class Placement:
@@ -199,19 +214,9 @@
     return members
 
 
-def hash_of(text: str, seed: int = 0) -> int:
+def hash_of(text: str) -> int:
     """Return the 64-bit hash of a text."""
-    return xxhash.xxh3_64_intdigest(text.encode(), seed=seed)
-
-
-def score(candidate: Candidate, bucket: int) -> float:
-    """Return the rendezvous score of a host for a bucket.
-
-    ``-weight / log(u)`` with u uniform in (0, 1) makes the chance to be
-    the best proportional to the weight.
-    """
-    uniform = (hash_of(candidate.name, bucket) + 1) / (HASH_LIMIT + 1)
-    return -candidate.weight / math.log(min(uniform, 1 - 1e-16))
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 #: Upper limits of the points of callers, with the domain up to there.
