--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -166,6 +166,13 @@
     return pages * 4096 / MEGABYTE
 
 
+def pss_mb(pid: int) -> float:
+    """Return the memory of a process, shared pages divided by users."""
+    lines = pathlib.Path(f'/proc/{pid}/smaps_rollup').read_text().splitlines()
+    found = [line.split()[1] for line in lines if line.startswith('Pss:')]
+    return int(found[0]) * 1024 / MEGABYTE
+
+
 class Caller:
     """One keep-alive connection that sends one request at a time.
 
--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -14,18 +14,15 @@
 import statistics
 import subprocess
 import sys
-import tempfile
 import time
 from collections.abc import Iterator
 
-from bench import fleet
+from bench import fleet, lookup_program
 from egretmill.lookup.answer import Directory
 from egretmill.lookup.blocks import Change, ClientBlocks, Delta
 from egretmill.lookup.blocks_file import BlocksReader, write_blocks
 from egretmill.lookup.placement import Candidate, Placement, caller_bucket
 from egretmill.lookup.ranges import NO_SITE
-from egretmill.metrics import Metrics
-from egretmill.wire import Server
 
 __all__ = ('main',)
 
@@ -36,14 +33,10 @@
 MICROSECONDS = 1_000_000
 MEGABYTE = 1_000_000
 V4_LIMIT = 1 << 32
-HTTP_RUNS = 7
-QUERY = 'service=service-1&client=10.9.8.7'
 # Targets, section 1.6 of the design page and the measures of look-ups.
 TARGET_DECISION_US = 5
 TARGET_TABLE_MB = 20
 TARGET_PAUSE_MS = 5
-TARGET_LOOKUPS_PER_S = 494
-TARGET_HTTP_RATIO = 1.2
 
 
 def build(size: int) -> ClientBlocks:
@@ -254,105 +247,7 @@
     return found
 
 
-async def http(requests: int) -> None:
-    """Compare look-ups over HTTP with an empty tornado handler."""
-    blocks = build(SIZES[0])
-    agent = fleet.BlocksAgent(fleet.free_port(), blocks)
-    server = Server(fleet.ADDRESS, agent.port, agent.handle, Metrics(None))
-    server.start()
-    steer_port, empty_port = fleet.free_port(), fleet.free_port()
-    with tempfile.TemporaryFile() as log, tempfile.TemporaryDirectory() as name:
-        config = pathlib.Path(name) / 'host.toml'
-        config.write_text(fleet.settings_text(steer_port, agent.port))
-        steer = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'egretmill.steer',
-            f'--config={config}',
-            stderr=log,
-        )
-        empty = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'bench.fleet',
-            str(empty_port),
-        )
-        try:
-            pids = {'lookup': steer.pid, 'empty': empty.pid}
-            await compare(steer_port, empty_port, requests, pids)
-        finally:
-            steer.kill()
-            empty.kill()
-            await asyncio.gather(steer.wait(), empty.wait())
-            server.close()
-
-
-async def compare(
-    steer_port: int,
-    empty_port: int,
-    requests: int,
-    pids: dict[str, int],
-) -> None:
-    """Alternate between both programs and print medians and rates."""
-    urls = {
-        'lookup': f'{steer_port}/v1/lookup?{QUERY}',
-        'empty': f'{empty_port}/?{QUERY}',
-    }
-    ready = f'{steer_port}/v1/health'
-    await fleet.until_ready(ready, lambda body: json.loads(body)['blocks'])
-    await fleet.until_ready(urls['empty'], bool)
-    medians: dict[str, list[float]] = {name: [] for name in urls}
-    rates: dict[str, list[float]] = {name: [] for name in urls}
-    turns = list(urls) * HTTP_RUNS
-    used = dict.fromkeys(urls, 0.0)
-    while turns:
-        name = turns.pop()
-        before = fleet.cpu_s(pids[name])
-        times = await fleet.closed_loop(urls[name], requests)
-        used[name] += fleet.cpu_s(pids[name]) - before
-        medians[name].append(statistics.median(times))
-        rates[name].append(len(times) / sum(times))
-    for name in urls:
-        median_us = statistics.median(medians[name]) * MICROSECONDS
-        print(
-            f'http: {name} median={median_us:.0f} us '
-            f'rate={statistics.median(rates[name]):.0f}/s '
-            f'on one connection, CPU of the server '
-            f'{used[name] / requests / HTTP_RUNS * MICROSECONDS:.0f} us'
-        )
-    ratios = [
-        lookup / empty
-        for lookup, empty in zip(
-            medians['lookup'],
-            medians['empty'],
-            strict=True,
-        )
-    ]
-    print(
-        f'http: ratio of medians={statistics.median(ratios):.2f} '
-        f'(runs {min(ratios):.2f} to {max(ratios):.2f}, '
-        f'target {TARGET_HTTP_RATIO}); '
-        f'target rate {TARGET_LOOKUPS_PER_S}/s'
-    )
-    await open_loop(steer_port, pids['lookup'])
-
-
-async def open_loop(steer_port: int, steer_pid: int) -> None:
-    """Send the target rate on several connections; report CPU and delay."""
-    path = f'{steer_port}/v1/lookup?{QUERY}'
-    before = fleet.cpu_s(steer_pid)
-    times = await fleet.paced(path, TARGET_LOOKUPS_PER_S, seconds=5)
-    used = fleet.cpu_s(steer_pid) - before
-    quantiles = statistics.quantiles(times, n=100)
-    print(
-        f'http: at {TARGET_LOOKUPS_PER_S}/s for 5 s: {len(times)} answers, '
-        f'p50={quantiles[49] * 1000:.2f} ms p99={quantiles[98] * 1000:.2f} ms '
-        f'CPU={used / 5 * 100:.1f}% of a core '
-        f'RSS={fleet.rss_mb(steer_pid):.1f} MB'
-    )
-
-
-PARTS = ('decisions', 'placement', 'http')
+PARTS = ('decisions', 'placement', 'http', 'program')
 
 
 def main() -> None:
@@ -370,7 +265,11 @@
     if 'placement' in arguments.parts:
         placement()
     if 'http' in arguments.parts:
-        asyncio.run(http(arguments.requests))
+        asyncio.run(
+            lookup_program.http(build(SIZES[0]), arguments.requests),
+        )
+    if 'program' in arguments.parts:
+        asyncio.run(lookup_program.idle_sizes(build, SIZES))
 
 
 if __name__ == '__main__':
