--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -17,6 +17,8 @@
 import time
 from collections.abc import Iterator
 
+import msgspec
+
 from bench import fleet, lookup_program
 from egretmill.lookup.answer import Directory
 from egretmill.lookup.blocks import Change, ClientBlocks, Delta
@@ -154,10 +156,12 @@
         changes.append(Change(4, start, start + step - 1, site))
     pauses = []
     begin = time.perf_counter()
-    steps = blocks.apply(Delta('', '', tuple(changes))).unwrap()
+    delta = Delta('', '', tuple(changes))
+    steps = blocks.apply(delta).unwrap()
     pauses.append(time.perf_counter() - begin)
     pauses.extend(step_times(steps))
     return {
+        'delta_bytes': len(msgspec.msgpack.encode(delta)),
         'delta_ms': sum(pauses) * 1000,
         'longest_pause_ms': max(pauses) * 1000,
     }
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -14,6 +14,7 @@
 import random
 import statistics
 import time
+import tracemalloc
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -338,9 +339,12 @@
     )
     frame = messages.encode(state)
     listed = Hosts(tuple(peer.host for peer in states))
+    peers = Peers('entry-0')
+    peers.apply_host_list(listed.entry_hosts, 0)
     repeats = list(range(max(2000 // size, 10)))
     return (
         f'state: hosts={size} HostState={len(frame)} bytes '
+        f'states={cpu_us(peers.states, repeats):.0f} us '
         f'encode={cpu_us(lambda _: messages.encode(state), repeats):.0f} us '
         f'decode={cpu_us(lambda _: messages.decode(frame), repeats):.0f} us '
         f'host list={len(msgspec.json.encode(listed))} bytes '
@@ -348,6 +352,27 @@
     )
 
 
+def memory_line(size: int) -> str:
+    """Measure the memory of host records and of the aggregates."""
+    frames = [messages.encode(heartbeat(host, 1)) for host in range(1, size)]
+    body = msgspec.json.encode(fleet.peers(size))
+    tracemalloc.start()
+    states = msgspec.json.decode(body, type=tuple[messages.PeerState, ...])
+    records, _ = tracemalloc.get_traced_memory()
+    peers = Peers('entry-0')
+    confirmation = Confirmation('entry-0')
+    peers.apply_host_list(tuple(state.host for state in states), 0)
+    for beat in map(messages.decode, frames):
+        peers.heard(beat, 0, 0)
+        confirmation.heard(beat, 0, 0)
+    together, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (
+        f'memory: hosts={size} records={records / 1000:.0f} KB '
+        f'aggregates={(together - records) / 1000:.0f} KB'
+    )
+
+
 def main() -> None:
     """Print the lines of all sizes."""
     parser = argparse.ArgumentParser(prog='bench.membership')
@@ -361,6 +386,7 @@
     )
     for size in arguments.sizes:
         print(state_line(size))
+        print(memory_line(size))
         for line in report(size, socket_us):
             print(line, flush=True)
     print(
