--- a/egretmill/membership/confirmation.py
+++ b/egretmill/membership/confirmation.py
@@ -149,11 +149,7 @@
         """Note that the outcome of a promotion is known."""
         self.open_promotions = max(self.open_promotions - 1, 0)
 
-    def settled_version(
-        self,
-        now: float,
-        total_slots: int = 0,
-    ) -> int:
+    def settled_version(self, now: float, total_slots: int) -> int:
         """Return the lowest version that a holder may still apply.
 
         A holder counts with its last known version until its lease has
--- a/egretmill/membership/peers.py
+++ b/egretmill/membership/peers.py
@@ -104,13 +104,16 @@
             answers; ``None`` for a heartbeat that came as a request, which
             does not show that the peer can be reached.
         :param asked: the host that was asked; another one that answers at
-            its address does not count for it.
+            its address does not count for it. What is said in the own name
+            is ignored; see :meth:`report_own`.
         """
         self.advance(now)
         host = heartbeat.host
         if asked not in {None, host}:
             self.miss(asked)
             sent_at = None
+        if host == self.own_name:
+            return tuple(self.changes(asked or host))
         known = self.known.setdefault(host, PeerView())
         restarted: tuple[PeerChange, ...] = ()
         if heartbeat.incarnation > known.incarnation:
--- a/tests/membership/test_confirmation.py
+++ b/tests/membership/test_confirmation.py
@@ -136,6 +136,42 @@
     assert confirmation.apply_outage_rule((peer('b'),), 1, 20.2)
 
 
+def test_host_that_restarts_with_the_platform_is_not_silent(
+    confirmation,
+    make_beat,
+):
+    """Guards against a promotion whose agent died before its answer."""
+    peers = (peer('b', incarnation=2),)
+    confirmation.heard(make_beat(version=3, slot_index=0), 19, 19.1)
+    fresh = silent_beat(
+        make_beat,
+        'b',
+        None,
+        incarnation=2,
+        platform_age_s=math.inf,
+    )
+    confirmation.heard(fresh, 20, 20.1)
+    assert not confirmation.apply_outage_rule(peers, 1, 20.2)
+    reached = silent_beat(make_beat, 'b', 0, incarnation=2)
+    confirmation.heard(reached, 21, 21.1)
+    assert confirmation.apply_outage_rule(peers, 1, 21.2)
+
+
+def test_host_that_restarts_in_the_outage_is_silent(confirmation, make_beat):
+    """Guards against a restart that makes the fleet unconfirmed."""
+    confirmation.heard(silent_beat(make_beat, 'b', 0), 19, 19.1)
+    fresh = silent_beat(
+        make_beat,
+        'b',
+        None,
+        incarnation=2,
+        platform_age_s=math.inf,
+    )
+    confirmation.heard(fresh, 20, 20.1)
+    peers = (peer('b', incarnation=2),)
+    assert confirmation.apply_outage_rule(peers, 1, 20.2)
+
+
 def test_silence_must_outlast_the_time_in_flight(confirmation, make_beat):
     """Guards against an age that was measured before the request."""
     slow = silent_beat(make_beat, 'b', 0, platform_age_s=4)
--- a/tests/membership/test_peers.py
+++ b/tests/membership/test_peers.py
@@ -248,6 +248,19 @@
     assert not peers.check(0)
 
 
+def test_heartbeat_in_the_own_name_changes_nothing(
+    peers,
+    make_host,
+    make_beat,
+):
+    """Guards against a replacement that takes this host out of its state."""
+    peers.report_own(make_host('a'), make_beat(host='a', version=7), 0)
+    assert not peers.heard(make_beat(host='a', incarnation=9), 0, 0)
+    peers.heard(make_beat(host='a', incarnation=9), 0, 0, asked='b')
+    own = state_of(peers, 0, 'a')
+    assert (own.reachable, own.version, own.incarnation) == (True, 7, 1)
+
+
 BEATS = st.lists(
     st.tuples(
         st.integers(1, 4),
