Answer look-ups with too long headers

A caller with headers above 16 KiB got a closed connection without an answer, because the server gives up reading there.

The server reads up to 64 KiB and the handlers refuse headers above 16 KiB with 431 headers_too_large, counted like other refusals. Still without a JSON body: requests that are not HTTP at all and bodies above 64 KiB, which tornado answers itself with a plain 400.

--- a/egretmill/steer/handlers.py
+++ b/egretmill/steer/handlers.py
@@ -17,6 +17,9 @@
 
 ENCODER = msgspec.json.Encoder()
 JSON = 'application/json'
+# Limit of the design page for requests. The server itself reads more, so
+# that a caller above it gets an answer and not a closed connection.
+MAX_HEADER_BYTES = 16384
 KIND_OF_STATUS = {
     400: ErrorKind.BAD_REQUEST,
     404: ErrorKind.NOT_FOUND,
@@ -74,6 +77,14 @@
     def compute_etag(self) -> None:
         """Send no Etag: answers are not cached by HTTP rules."""
 
+    def prepare(self) -> None:
+        """Refuse headers above the limit."""
+        headers = self.request.headers.get_all()
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size > MAX_HEADER_BYTES:
+            detail = f'{size} bytes of headers, the limit is {MAX_HEADER_BYTES}'
+            self.refuse(Failure(ErrorKind.HEADERS_TOO_LARGE, detail))
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer errors that tornado found, without a traceback."""
         kind = KIND_OF_STATUS.get(status_code, ErrorKind.INTERNAL)
@@ -100,7 +111,9 @@
 
     def prepare(self) -> None:
         """Refuse every method."""
-        self.refuse(Failure(ErrorKind.NOT_FOUND, self.request.path))
+        super().prepare()
+        if not self._finished:
+            self.refuse(Failure(ErrorKind.NOT_FOUND, self.request.path))
 
 
 class LookupHandler(SteerHandler):
--- a/egretmill/steer/program.py
+++ b/egretmill/steer/program.py
@@ -19,7 +19,7 @@
 __all__ = ('PROGRAM', 'serve')
 
 PROGRAM = 'egretmill-steer'
-MAX_HEADER_BYTES = 16384
+MAX_READ_HEADER_BYTES = 65536
 MAX_BODY_BYTES = 65536
 
 
@@ -29,7 +29,7 @@
     state = SteerState()
     server = HTTPServer(
         make_application(state, metrics),
-        max_header_size=MAX_HEADER_BYTES,
+        max_header_size=MAX_READ_HEADER_BYTES,
         max_body_size=MAX_BODY_BYTES,
     )
     try:
--- a/tests/steer/test_steer_process.py
+++ b/tests/steer/test_steer_process.py
@@ -192,4 +192,11 @@
     )
     assert answer.code == 405
     assert json.loads(answer.body)['error'] == 'method_not_allowed'
+    long_header = await steer.client.fetch(
+        f'http://{ADDRESS}:{steer.port}/v1/health',
+        headers={'X-Long': 'a' * 20000},
+        raise_error=False,
+    )
+    assert long_header.code == 431
+    assert json.loads(long_header.body)['error'] == 'headers_too_large'
     assert 'Traceback' not in await steer.stop()
