--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -14,35 +14,31 @@
 import statistics
 import subprocess
 import sys
-import tempfile
 import time
 from collections.abc import Iterator
 
-from bench import fleet
+import msgspec
+
+from bench import fleet, lookup_program
 from egretmill.lookup.answer import Directory
 from egretmill.lookup.blocks import Change, ClientBlocks, Delta
 from egretmill.lookup.blocks_file import BlocksReader, write_blocks
 from egretmill.lookup.placement import Candidate, Placement, caller_bucket
 from egretmill.lookup.ranges import NO_SITE
-from egretmill.metrics import Metrics
-from egretmill.wire import Server
 
 __all__ = ('main',)
 
 SIZES = (200_000, 800_000, 3_200_000)
 SITES = 250
 SEED = 11
+BATCH = 1000
 MICROSECONDS = 1_000_000
 MEGABYTE = 1_000_000
 V4_LIMIT = 1 << 32
-HTTP_RUNS = 7
-QUERY = 'service=service-1&client=10.9.8.7'
 # Targets, section 1.6 of the design page and the measures of look-ups.
 TARGET_DECISION_US = 5
 TARGET_TABLE_MB = 20
 TARGET_PAUSE_MS = 5
-TARGET_LOOKUPS_PER_S = 494
-TARGET_HTTP_RATIO = 1.2
 
 
 def build(size: int) -> ClientBlocks:
@@ -79,12 +75,12 @@
         'blocks': size,
         'segments': blocks.v4.segment_count(),
         'table_mb': table,
-        'site_us': timed(blocks.site_of, clients),
+        **summary('site', batch_times(blocks.site_of, clients)),
         **measure_decisions(blocks, clients, 7),
         **measure_decisions(blocks, clients, 870),
         **measure_delta(blocks, size, rng),
         **measure_load(blocks),
-        'calibration_us': timed(calibrate, clients[:2000]),
+        **summary('calibration', batch_times(calibrate, clients[:20000])),
     }
 
 
@@ -105,10 +101,10 @@
         site = blocks.site_of(client)
         directory.answer('service-1', client, site)
 
-    cold = timed(decide, clients)
+    cold = batch_times(decide, clients)
     return {
-        f'cold_us_{hosts}_hosts': cold,
-        f'decision_us_{hosts}_hosts': timed(decide, clients),
+        f'cold_{hosts}_hosts_us': statistics.mean(cold),
+        **summary(f'decision_{hosts}_hosts', batch_times(decide, clients)),
     }
 
 
@@ -122,13 +118,28 @@
     return '.'.join(str(part) for part in number.to_bytes(4))
 
 
-def timed(call, clients: list[str]) -> float:
-    """Return microseconds of CPU per call."""
-    begin = time.process_time()
-    for client in clients:
-        call(client)
-    taken = time.process_time() - begin
-    return taken / len(clients) * MICROSECONDS
+def batch_times(call, clients: list[str]) -> list[float]:
+    """Return microseconds of CPU per call, for each batch of calls."""
+    found = []
+    for low in range(0, len(clients), BATCH):
+        batch = clients[low : low + BATCH]
+        begin = time.process_time()
+        for client in batch:
+            call(client)
+        taken = time.process_time() - begin
+        found.append(taken / len(batch) * MICROSECONDS)
+    return found
+
+
+def summary(name: str, times: list[float]) -> dict[str, float]:
+    """Return the median batch and the lowest one.
+
+    The lowest batch is the one least disturbed by other programs.
+    """
+    return {
+        f'{name}_us': statistics.median(times),
+        f'{name}_lowest_us': min(times),
+    }
 
 
 def measure_delta(
@@ -145,10 +156,12 @@
         changes.append(Change(4, start, start + step - 1, site))
     pauses = []
     begin = time.perf_counter()
-    steps = blocks.apply(Delta('', '', tuple(changes))).unwrap()
+    delta = Delta('', '', tuple(changes))
+    steps = blocks.apply(delta).unwrap()
     pauses.append(time.perf_counter() - begin)
     pauses.extend(step_times(steps))
     return {
+        'delta_bytes': len(msgspec.msgpack.encode(delta)),
         'delta_ms': sum(pauses) * 1000,
         'longest_pause_ms': max(pauses) * 1000,
     }
@@ -238,100 +251,7 @@
     return found
 
 
-async def http(requests: int) -> None:
-    """Compare look-ups over HTTP with an empty tornado handler."""
-    blocks = build(SIZES[0])
-    agent = fleet.BlocksAgent(fleet.free_port(), blocks)
-    server = Server(fleet.ADDRESS, agent.port, agent.handle, Metrics(None))
-    server.start()
-    steer_port, empty_port = fleet.free_port(), fleet.free_port()
-    with tempfile.TemporaryFile() as log, tempfile.TemporaryDirectory() as name:
-        config = pathlib.Path(name) / 'host.toml'
-        config.write_text(fleet.settings_text(steer_port, agent.port))
-        steer = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'egretmill.steer',
-            f'--config={config}',
-            stderr=log,
-        )
-        empty = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'bench.fleet',
-            str(empty_port),
-        )
-        try:
-            await compare(steer_port, empty_port, requests, steer.pid)
-        finally:
-            steer.kill()
-            empty.kill()
-            await asyncio.gather(steer.wait(), empty.wait())
-            server.close()
-
-
-async def compare(
-    steer_port: int,
-    empty_port: int,
-    requests: int,
-    steer_pid: int,
-) -> None:
-    """Alternate between both programs and print medians and rates."""
-    urls = {
-        'lookup': f'{steer_port}/v1/lookup?{QUERY}',
-        'empty': f'{empty_port}/?{QUERY}',
-    }
-    ready = f'{steer_port}/v1/health'
-    await fleet.until_ready(ready, lambda body: json.loads(body)['blocks'])
-    await fleet.until_ready(urls['empty'], bool)
-    medians: dict[str, list[float]] = {name: [] for name in urls}
-    rates: dict[str, list[float]] = {name: [] for name in urls}
-    turns = list(urls) * HTTP_RUNS
-    while turns:
-        name = turns.pop()
-        times = await fleet.closed_loop(urls[name], requests)
-        medians[name].append(statistics.median(times))
-        rates[name].append(len(times) / sum(times))
-    for name in urls:
-        median_us = statistics.median(medians[name]) * MICROSECONDS
-        print(
-            f'http: {name} median={median_us:.0f} us '
-            f'rate={statistics.median(rates[name]):.0f}/s '
-            'on one connection'
-        )
-    ratios = [
-        lookup / empty
-        for lookup, empty in zip(
-            medians['lookup'],
-            medians['empty'],
-            strict=True,
-        )
-    ]
-    print(
-        f'http: ratio of medians={statistics.median(ratios):.2f} '
-        f'(runs {min(ratios):.2f} to {max(ratios):.2f}, '
-        f'target {TARGET_HTTP_RATIO}); '
-        f'target rate {TARGET_LOOKUPS_PER_S}/s'
-    )
-    await open_loop(steer_port, steer_pid)
-
-
-async def open_loop(steer_port: int, steer_pid: int) -> None:
-    """Send the target rate on several connections; report CPU and delay."""
-    path = f'{steer_port}/v1/lookup?{QUERY}'
-    before = fleet.cpu_s(steer_pid)
-    times = await fleet.paced(path, TARGET_LOOKUPS_PER_S, seconds=5)
-    used = fleet.cpu_s(steer_pid) - before
-    quantiles = statistics.quantiles(times, n=100)
-    print(
-        f'http: at {TARGET_LOOKUPS_PER_S}/s for 5 s: {len(times)} answers, '
-        f'p50={quantiles[49] * 1000:.2f} ms p99={quantiles[98] * 1000:.2f} ms '
-        f'CPU={used / 5 * 100:.1f}% of a core '
-        f'RSS={fleet.rss_mb(steer_pid):.1f} MB'
-    )
-
-
-PARTS = ('decisions', 'placement', 'http')
+PARTS = ('decisions', 'placement', 'http', 'program')
 
 
 def main() -> None:
@@ -349,7 +269,11 @@
     if 'placement' in arguments.parts:
         placement()
     if 'http' in arguments.parts:
-        asyncio.run(http(arguments.requests))
+        asyncio.run(
+            lookup_program.http(build(SIZES[0]), arguments.requests),
+        )
+    if 'program' in arguments.parts:
+        asyncio.run(lookup_program.idle_sizes(build, SIZES))
 
 
 if __name__ == '__main__':
