--- a/egretmill/entry/exchange.py
+++ b/egretmill/entry/exchange.py
@@ -102,7 +102,7 @@
             self.state.finish(grant, Observation(took_s, observed))
         self.sent = self.sent or end.sent
         if end.kind is not None:
-            return Err(Failure(end.kind, end.detail))
+            return Err(failure_of(end))
         if shed:
             return Err(Failure(ErrorKind.UPSTREAM_SHED, grant.upstream.name))
         return Ok(None)
@@ -113,6 +113,9 @@
         :returns: how the call ended and whether its answer was held back
             because the upstream shed the request.
         """
+        if self.caller.deadline_at <= self.state.now():
+            # A pause of this program is no failure of the upstream.
+            return CallEnd(ErrorKind.QUEUE_TIMEOUT, sent=False), False
         decision = grant.decision
         outward = self.meter(decision.from_region, decision.to_region)
         homeward = self.meter(decision.to_region, decision.from_region)
@@ -217,12 +220,19 @@
         )
 
 
+def failure_of(end: CallEnd) -> Failure:
+    """Return the failure of a call; a deadline before the send is no run."""
+    if end.kind is ErrorKind.UPSTREAM_TIMEOUT and not end.sent:
+        return Failure(ErrorKind.QUEUE_TIMEOUT, 'deadline before the send')
+    return Failure(end.kind, end.detail)
+
+
 def observation_of(end: CallEnd) -> ObservationKind:
     """Return what a call tells about its upstream."""
     if end.caller_gone:
         return ObservationKind.CANCELLED
     if end.kind is not None:
-        return OBSERVATIONS[end.kind]
+        return OBSERVATIONS.get(end.kind, ObservationKind.CANCELLED)
     if end.draining:
         return ObservationKind.DRAINING
     if end.status == 503:
--- a/egretmill/entry/sink.py
+++ b/egretmill/entry/sink.py
@@ -44,13 +44,9 @@
         headers: HTTPHeaders,
         outcome: str = '',
     ) -> None:
-        """Send status and headers of an upstream's answer.
-
-        An upstream that answers 503 may or may not have run the request.
-        """
+        """Send status and headers of an upstream's answer."""
         if not outcome:
-            shed = status == HTTP_UNAVAILABLE
-            outcome = (Outcome.UNKNOWN if shed else Outcome.RAN).value
+            outcome = outcome_of(status).value
         self.begin(status, header_names.answer_pairs(headers))
         length = headers.get('Content-Length')
         if length is not None:
@@ -104,7 +100,8 @@
     def replay(self, answer: StoredAnswer) -> None:
         """Send a recorded answer."""
         self.begin(answer.status, answer.headers)
-        self.handler.set_header(header_names.OUTCOME, Outcome.RAN.value)
+        outcome = outcome_of(answer.status).value
+        self.handler.set_header(header_names.OUTCOME, outcome)
         self.handler.set_header('X-Egretmill-Repeat', '1')
         if answer.status not in {204, HTTP_NOT_MODIFIED}:
             self.handler.write(answer.body)
@@ -163,3 +160,11 @@
     def dropping(self) -> bool:
         """Tell whether the answer is held back."""
         return self.shed and self.hold_shed
+
+
+def outcome_of(status: int) -> Outcome:
+    """Return what a status of an upstream tells about the execution.
+
+    An upstream that answers 503 may or may not have run the request.
+    """
+    return Outcome.UNKNOWN if status == HTTP_UNAVAILABLE else Outcome.RAN
--- a/egretmill/entry/upstream_call.py
+++ b/egretmill/entry/upstream_call.py
@@ -152,10 +152,10 @@
             max_buffer_size=STREAM_BUFFER_BYTES,
         )
         self.stream = stream
-        await asyncio.wait_for(
-            stream.connect((self.target.address, self.target.port)),
-            connect_s,
-        )
+        # asyncio.wait_for of Python 3.11 drops a cancellation that meets a
+        # finished connect; the call would then have no deadline at all.
+        async with asyncio.timeout(connect_s):
+            await stream.connect((self.target.address, self.target.port))
         stream.set_nodelay(True)
         return stream
 
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import pathlib
 import socket
 import time
@@ -25,6 +26,8 @@
 # Above the loan time of the document (0.1 s) and its margin.
 SHARE_WAIT_S = 0.25
 LEASE_S = 600.0
+# One address for each upstream, so that a killed one finds its port free.
+UPSTREAM_ADDRESSES = map(str, ipaddress.ip_network('127.2.0.0/16').hosts())
 
 
 class EntryHarness:
@@ -47,6 +50,7 @@
         self.upstreams: dict[str, standin.Upstream] = {}
         self.records: dict[str, UpstreamRecord] = {}
         self.servers: dict[str, HTTPServer] = {}
+        self.killed: set[str] = set()
         self.base = ''
         self.port = 0
 
@@ -60,6 +64,10 @@
         for service in ('board', 'ledger', 'intake'):
             for number in (1, 2):
                 self.add_upstream(service, f'{service}-{number}')
+        self.listen()
+
+    def listen(self) -> None:
+        """Accept callers and put the document in force."""
         self.program.http = HTTPServer(self.program.make_application())
         self.port, listening = bound_socket()
         self.program.http.add_socket(listening)
@@ -73,7 +81,8 @@
             standin.make_application(upstream),
             max_body_size=standin.MAX_BODY_BYTES,
         )
-        port, listening = bound_socket()
+        address = next(UPSTREAM_ADDRESSES)
+        port, listening = bound_socket(address)
         server.add_socket(listening)
         self.upstreams[name] = upstream
         self.servers[name] = server
@@ -81,7 +90,7 @@
             name=name,
             service=service,
             site='site-a',
-            address=ADDRESS,
+            address=address,
             port=port,
             slots=slots,
             max_connections=330,
@@ -114,9 +123,18 @@
 
     async def kill(self, name: str) -> None:
         """Close an upstream: connections to it are refused."""
+        self.killed.add(name)
         self.servers[name].stop()
         await self.servers[name].close_all_connections()
 
+    def revive(self, name: str) -> None:
+        """Start a killed upstream again at its address."""
+        upstream = self.upstreams[name]
+        server = HTTPServer(standin.make_application(upstream))
+        record = self.records[name]
+        server.listen(record.port, record.address)
+        self.servers[name] = server
+
     async def fetch(self, path: str, **options: object) -> HTTPResponse:
         """Make a request with the key; statuses are not raised."""
         headers = {'X-Api-Key': KEY} | dict(options.pop('headers', {}))
@@ -151,10 +169,11 @@
                 await server.close_all_connections()
 
 
-def bound_socket() -> tuple[int, socket.socket]:
+def bound_socket(address: str = ADDRESS) -> tuple[int, socket.socket]:
     """Return a listening socket on a free port."""
     listening = socket.socket()
-    listening.bind((ADDRESS, 0))
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.bind((address, 0))
     listening.listen(128)
     listening.setblocking(False)  # noqa: FBT003
     return listening.getsockname()[1], listening
