Let a host start during a platform outage and promote only with a slot

Cause: a fresh host learned hosts and upstreams only from the platform, so one that started during an outage served nobody. Change: the settings name seeds, agents of other hosts, which give the last host list; the document comes from peers as before, and shares by loans. A promotion through a host without a share slot is refused, because the outage rule of the confirmation only watches holders of slots.

Before: a restarted host does not serve within 10 s of an outage.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -185,6 +185,11 @@
             failure_domain=host.failure_domain,
             address=host.address,
             platform=PlatformSettings(self.platform_url),
+            seeds=tuple(
+                f'{other.address}:{other.agent_port}'
+                for other in self.hosts[:3]
+                if other.name != host.name
+            ),
         )
         tables = msgspec.to_builtins(settings)
         tables['log']['level'] = self.log_level
--- a/egretmill/agent/platform_watch.py
+++ b/egretmill/agent/platform_watch.py
@@ -7,11 +7,14 @@
 from egretmill.agent.state import AgentState
 from egretmill.membership import slots
 from egretmill.membership.slot_keeper import SlotKeeper, SlotTiming
-from egretmill.store import StoreClient
+from egretmill.store import Hosts, StoreClient
+from egretmill.wire import Peer
+from egretmill.wire.messages import FetchHosts, KnownHosts
 
 __all__ = ('PlatformWatch',)
 
 HOST_LIST_INTERVAL_S = 1.0
+SEED_TIMEOUT_S = 0.5
 # Rows of other failure domains say which slots are free or have a new
 # holder; heartbeats say the same earlier for hosts that answer.
 ROWS_INTERVAL_S = 3.0
@@ -35,14 +38,23 @@
     async def read_hosts(self) -> None:
         """Read the host list once; the last one stays in an outage."""
         read = await self.store.hosts()
-        if isinstance(read, Err):
-            return
-        now = self.state.now()
-        self.state.confirmation.platform_answered(now)
-        hosts = read.ok_value
-        changes = self.state.peers.apply_host_list(hosts.entry_hosts, now)
-        self.state.log_changes(changes)
-        self.state.use_upstreams(hosts.upstreams)
+        if isinstance(read, Ok):
+            self.state.confirmation.platform_answered(self.state.now())
+            self.state.use_hosts(read.ok_value)
+        elif self.state.hosts is None:
+            await self.ask_seeds()
+
+    async def ask_seeds(self) -> None:
+        """Learn hosts from another agent, as a start without platform."""
+        for seed in self.state.settings.seeds:
+            address, _, port = seed.rpartition(':')
+            link = Peer(address, int(port))
+            answer = await link.call(FetchHosts(), SEED_TIMEOUT_S)
+            link.close()
+            known = answer.unwrap_or(None)
+            if isinstance(known, KnownHosts):
+                self.state.use_hosts(Hosts(known.entry_hosts, known.upstreams))
+                return
 
     async def run_slot(self) -> None:
         """Acquire and renew the share slot until cancelled."""
--- a/egretmill/agent/program.py
+++ b/egretmill/agent/program.py
@@ -56,6 +56,7 @@
         )
         self.promoter.confirmation = self.state.confirmation
         self.promoter.unknown_outcomes = 0
+        self.promoter.may_promote = self.may_promote
         self.configuration = ConfigurationWatch(
             self.state,
             self.promoter,
@@ -90,6 +91,13 @@
         """Return all known entry hosts, this one included."""
         return self.state.peer_states()
 
+    def may_promote(self) -> bool:
+        """Tell whether peers would notice a promotion through this host.
+
+        The first document is promoted before any share slot exists.
+        """
+        return self.environment is None or self.state.slot() is not None
+
     async def explain(
         self,
         question: messages.Explain,
@@ -155,6 +163,8 @@
                 return await self.claims.record(message)
             case messages.FetchBlocks():
                 return await self.blocks.part(message)
+            case messages.FetchHosts():
+                return self.state.known_hosts()
             case messages.FetchDocument():
                 return self.configuration.document()
         kind = type(message).__name__
--- a/egretmill/agent/promotions.py
+++ b/egretmill/agent/promotions.py
@@ -1,5 +1,7 @@
 """Promotions through this agent, known to the confirmation of versions."""
 
+from collections.abc import Callable
+
 from result import Err, Result
 
 from egretmill.document.promotion import (
@@ -17,10 +19,12 @@
     """Tells the confirmation while a promotion has no known outcome.
 
     Peers must not conclude from this host's silence about the platform
-    that nothing was promoted while such a promotion is open.
+    that nothing was promoted while such a promotion is open. For the same
+    reason only holders of a share slot promote, whom all hosts know.
     """
 
     confirmation: Confirmation
+    may_promote: Callable[[], bool]
     unknown_outcomes: int
 
     async def promote(
@@ -31,6 +35,9 @@
         operator: str,
     ) -> Result[Promoted, Failure]:
         """Promote; an unknown outcome stays open until the next read."""
+        if not self.may_promote():
+            detail = 'this host holds no share slot; use the agent of another'
+            return Err(Failure(ErrorKind.NOT_READY, detail))
         self.confirmation.promotion_started()
         promoted = await super().promote(
             body,
--- a/egretmill/agent/state.py
+++ b/egretmill/agent/state.py
@@ -6,15 +6,18 @@
 
 import msgspec
 import xxhash
+from result import Err, Ok, Result
 
 from egretmill import events
 from egretmill.document import Environment
+from egretmill.errors import ErrorKind, Failure
 from egretmill.logs import log_event
 from egretmill.membership.confirmation import Confirmation
 from egretmill.membership.peers import PeerChange, Peers
 from egretmill.membership.slot_keeper import SlotKeeper
 from egretmill.metrics import Metrics
 from egretmill.settings import HostSettings
+from egretmill.store.ports import Hosts
 from egretmill.wire import messages
 
 __all__ = ('AgentState', 'LocalProgram')
@@ -57,6 +60,7 @@
         self.peers = Peers(settings.name, settings.timing.heartbeat_s)
         self.confirmation = Confirmation(settings.name)
         self.keeper: SlotKeeper | None = None
+        self.hosts: Hosts | None = None
         self.upstreams: tuple[messages.UpstreamRecord, ...] = ()
         self.upstreams_digest = ''
         self.entry = LocalProgram()
@@ -147,15 +151,25 @@
             return None
         return self.upstreams
 
-    def use_upstreams(
-        self,
-        upstreams: tuple[messages.UpstreamRecord, ...],
-    ) -> None:
-        """Take over the upstreams of the host list."""
-        if upstreams != self.upstreams or not self.upstreams_digest:
-            body = msgspec.msgpack.encode(upstreams)
+    def use_hosts(self, hosts: Hosts) -> None:
+        """Take over a host list."""
+        changes = self.peers.apply_host_list(hosts.entry_hosts, self.now())
+        self.log_changes(changes)
+        if hosts.upstreams != self.upstreams or not self.upstreams_digest:
+            body = msgspec.msgpack.encode(hosts.upstreams)
             self.upstreams_digest = xxhash.xxh3_64_hexdigest(body)
-            self.upstreams = upstreams
+            self.upstreams = hosts.upstreams
+        self.hosts = hosts
+
+    def known_hosts(self) -> Result[messages.KnownHosts, Failure]:
+        """Return the last host list for a host that starts."""
+        if self.hosts is None:
+            return Err(Failure(ErrorKind.NOT_READY, 'no host list yet'))
+        known = messages.KnownHosts(
+            self.hosts.entry_hosts,
+            self.hosts.upstreams,
+        )
+        return Ok(known)
 
     def apply(self, environment: Environment) -> bool:
         """Put a version in force; an older one is ignored."""
--- a/egretmill/settings/model.py
+++ b/egretmill/settings/model.py
@@ -16,6 +16,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,62}\Z')]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Seed = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+:[0-9]{1,5}\Z')]
 TokenDigest = Annotated[str, msgspec.Meta(pattern=r'^sha256:[0-9a-f]{64}\Z')]
 
 
@@ -67,6 +68,10 @@
 class HostSettings(Model):
     """Settings of one host, shared by its programs.
 
+    ``seeds`` are addresses of other hosts' agents, as ``IP:port``. A host
+    that starts while the platform is down learns hosts, upstreams and the
+    document from them.
+
     ``operations_token_digest`` is the digest of the token that operators
     send; without it the operations port answers whoever can reach it.
     """
@@ -80,3 +85,4 @@
     timing: TimingSettings = TimingSettings()
     metrics: MetricsSettings | None = None
     operations_token_digest: TokenDigest | None = None
+    seeds: tuple[Seed, ...] = ()
--- a/egretmill/wire/messages.py
+++ b/egretmill/wire/messages.py
@@ -21,9 +21,11 @@
     'Explained',
     'FetchBlocks',
     'FetchDocument',
+    'FetchHosts',
     'Heartbeat',
     'HostRecord',
     'HostState',
+    'KnownHosts',
     'Loan',
     'Loans',
     'Message',
@@ -230,6 +232,17 @@
     version: int
 
 
+class FetchHosts(Message):
+    """Ask a peer for the host list while the platform does not answer."""
+
+
+class KnownHosts(Message):
+    """The last host list that a host has read."""
+
+    entry_hosts: tuple[HostRecord, ...]
+    upstreams: tuple[UpstreamRecord, ...]
+
+
 class DocumentBody(Message):
     """The newest document that a host has."""
 
@@ -325,6 +338,7 @@
     | RecordAnswer
     | Heartbeat
     | FetchDocument
+    | FetchHosts
     | FetchBlocks
     | Borrow
     | Explain
@@ -336,6 +350,7 @@
     | ErrorReply
     | Heartbeat
     | DocumentBody
+    | KnownHosts
     | BlocksBody
     | Loans
     | Explained
--- a/tests/fleet/test_faults.py
+++ b/tests/fleet/test_faults.py
@@ -193,3 +193,27 @@
     await fleet.until(is_left_out, 'paused host left out', 4.0)
     fleet.signal(paused, 'agent', signal.SIGCONT)
     await fleet.until(is_back, 'resumed host named', 4.0)
+
+
+async def test_host_that_starts_during_an_outage_serves(fleet):
+    """Guards against a fresh host that needs the platform to serve."""
+    host = fleet.hosts[0]
+    await fleet.platform_faults(down=True)
+    for program in ('steer', 'entry', 'agent'):
+        fleet.signal(host, program, signal.SIGKILL)
+        fleet.wait(host, program, 5)
+    fleet.fleet.start_host(host)
+    await fleet.until(lambda: fleet.serves(host), 'fresh host', 10.0)
+
+
+async def test_shutdown_ends_during_an_outage(fleet):
+    """Guards against a shutdown that waits for the platform."""
+    host = fleet.hosts[0]
+    await fleet.platform_faults(down=True)
+    refused = await fleet.write(host, Idempotency_Key='outage-2')
+    assert refused.code == 503
+    for program in ('steer', 'entry', 'agent'):
+        fleet.signal(host, program, signal.SIGTERM)
+    for program in ('steer', 'entry', 'agent'):
+        status = await asyncio.to_thread(fleet.wait, host, program, 8)
+        assert status == 0
