--- a/egretmill/ledger/batch.py
+++ b/egretmill/ledger/batch.py
@@ -44,7 +44,7 @@
     record_linger_s: float = 0.02
     puts: int = 64
     size_bytes: int = 524288
-    in_flight: int = 2
+    in_flight: int = 4
 
 
 @dataclasses.dataclass(slots=True)
