Wait for another host's claim by reading

Cause: a repeat that waited for a claim of another host tried to claim the key at each poll, which cost a write and a read and split the batch that it travelled in.

Change: after the first attempt the row is read until the key is free or decided.

Ruled out: reading before the first attempt, which costs every new key a call.

--- a/egretmill/ledger/acquiring.py
+++ b/egretmill/ledger/acquiring.py
@@ -15,7 +15,7 @@
 from egretmill.store.ports import Put, Row, TableService
 from egretmill.wire.messages import Claim, ClaimDecision
 
-__all__ = ('UNAVAILABLE', 'Acquirer', 'RowReader')
+__all__ = ('GRANTED', 'IN_PROGRESS', 'UNAVAILABLE', 'Acquirer', 'RowReader')
 
 # A round more needs another writer of the same key or a lost answer.
 MAX_ROUNDS = 16
@@ -23,6 +23,7 @@
 READ_PAUSE_S = 0.05
 UNAVAILABLE = ClaimDecision('unavailable')
 GRANTED = ClaimDecision('granted')
+IN_PROGRESS = ClaimDecision('in_progress')
 
 
 class RowReader:
@@ -161,6 +162,13 @@
             return verdict.decision
         return None
 
+    async def peek(self, key: str, message: Claim) -> ClaimDecision:
+        """Read how a claim would be decided; ``granted`` is not written."""
+        found = await self.reader.read(key)
+        if isinstance(found, Err):
+            return IN_PROGRESS
+        return self.verdict(key, found.ok_value, message).decision
+
     def verdict(
         self,
         key: str,
--- a/egretmill/ledger/held.py
+++ b/egretmill/ledger/held.py
@@ -64,6 +64,10 @@
     retry_most_s: float = 5.0
     reads: int = 8
 
+    def poll_after(self, polls: int) -> float:
+        """Return the pause before a row is read again."""
+        return min(self.poll_s * 2 ** min(polls, 16), self.poll_most_s)
+
 
 @dataclasses.dataclass(slots=True)
 class Held:
--- a/egretmill/ledger/service.py
+++ b/egretmill/ledger/service.py
@@ -30,7 +30,13 @@
 from egretmill import events
 from egretmill.errors import Failure
 from egretmill.ledger import claims
-from egretmill.ledger.acquiring import UNAVAILABLE, Acquirer, RowReader
+from egretmill.ledger.acquiring import (
+    GRANTED,
+    IN_PROGRESS,
+    UNAVAILABLE,
+    Acquirer,
+    RowReader,
+)
 from egretmill.ledger.batch import BatchLimits, BatchWriter
 from egretmill.ledger.held import ClaimLimits, Held, HeldClaims, Phase, Tasks
 from egretmill.ledger.recording import Recorder
@@ -45,8 +51,6 @@
 
 __all__ = ('ClaimLimits', 'ClaimService')
 
-IN_PROGRESS = ClaimDecision('in_progress')
-
 
 class ClaimService:
     """Decides claims and records answers of one host.
@@ -145,13 +149,18 @@
         deadline: float,
     ) -> ClaimDecision:
         """Try until a decision other than ``in_progress`` or the deadline."""
-        poll_s = self.limits.poll_s
+        polls = 0
         while True:
             held = self.held.by_key.get(key)
             if held is None:
-                decision = await self.attempt(key, message, deadline)
-                change = asyncio.sleep(poll_s)
-                poll_s = min(poll_s * 2, self.limits.poll_most_s)
+                decision = await self.decide_free(
+                    key,
+                    message,
+                    deadline,
+                    polls > 0,
+                )
+                change = asyncio.sleep(self.limits.poll_after(polls))
+                polls += 1
             else:
                 decision = await self.decide_held(held, message, deadline)
                 change = held.changed.wait()
@@ -161,6 +170,26 @@
             if not await self.wait(change, deadline):
                 return decision
 
+    async def decide_free(
+        self,
+        key: str,
+        message: Claim,
+        deadline: float,
+        seen: bool,
+    ) -> ClaimDecision:
+        """Decide a claim whose key this host does not hold.
+
+        A key that was ``seen`` in use elsewhere is read first, so waiting
+        for another host costs the platform no writes.
+        """
+        if seen:
+            decision = await self.acquirer.peek(key, message)
+            if decision != GRANTED:
+                return decision
+        if key in self.held.by_key:
+            return IN_PROGRESS
+        return await self.attempt(key, message, deadline)
+
     async def wait(
         self,
         change: Coroutine[Any, Any, Any],
@@ -193,7 +222,7 @@
                 return await self.await_decision(held, deadline)
             return IN_PROGRESS
         if held.phase is Phase.GRANTED and own:
-            return ClaimDecision('granted')
+            return GRANTED
         if held.row.state == 'released':
             return IN_PROGRESS
         if claims.differs(held.row, message):
--- a/tests/ledger/test_service.py
+++ b/tests/ledger/test_service.py
@@ -70,6 +70,21 @@
     assert [decision.answer for decision in decisions] == [ANSWER, ANSWER]
 
 
+@in_virtual_time
+async def test_waiting_for_another_host_costs_no_writes(fleet):
+    """Guards against repeats that use up the platform's writes."""
+    first, second = fleet.start('a'), fleet.start('b')
+    message = claim()
+    assert (await first.claim(message)).status == 'granted'
+    task = asyncio.create_task(second.claim(claim(timeout_s=9)))
+    await asyncio.sleep(6)
+    # The claim, the repeat's own attempt, and nothing more.
+    assert fleet.table.transactions == 2
+    assert fleet.table.reads in range(5, 15)
+    await first.record(record(message, 'released'))
+    assert (await task).status == 'granted'
+
+
 @in_virtual_time
 async def test_running_claim_without_time_is_in_progress(fleet):
     """Guards against a repeat that waits past its deadline."""
