--- a/egretmill/ledger/service.py
+++ b/egretmill/ledger/service.py
@@ -8,6 +8,8 @@
   ``RecordAnswer(state='released')`` for the attempt instead.
 - A granted claim is recorded once it has ended, also when nothing was sent.
   A record that got ``platform_unavailable`` is sent again.
+- Claims carry the incarnation of the entry program. The agent calls
+  :meth:`ClaimService.entry_lost` when it hears of a higher one.
 
 **A claim whose answer was lost** is settled by reading the row back for the
 own attempt id. When that is impossible too, the decision is ``unavailable``
@@ -30,7 +32,13 @@
 from egretmill import events
 from egretmill.errors import Failure
 from egretmill.ledger import claims
-from egretmill.ledger.acquiring import UNAVAILABLE, Acquirer, RowReader
+from egretmill.ledger.acquiring import (
+    GRANTED,
+    IN_PROGRESS,
+    UNAVAILABLE,
+    Acquirer,
+    RowReader,
+)
 from egretmill.ledger.batch import BatchLimits, BatchWriter
 from egretmill.ledger.held import ClaimLimits, Held, HeldClaims, Phase, Tasks
 from egretmill.ledger.recording import Recorder
@@ -45,8 +53,6 @@
 
 __all__ = ('ClaimLimits', 'ClaimService')
 
-IN_PROGRESS = ClaimDecision('in_progress')
-
 
 class ClaimService:
     """Decides claims and records answers of one host.
@@ -86,6 +92,7 @@
             maxlen=self.limits.held,
         )
         self.waiting = 0
+        self.entry_incarnation = 0
 
     async def claim(self, message: Claim) -> ClaimDecision:
         """Decide a claim within its ``timeout_s``.
@@ -96,7 +103,7 @@
         """
         deadline = self.clock() + message.timeout_s
         key = claims.row_key(message.account, message.idempotency_key)
-        if isinstance(key, Err) or message.attempt_id in self.released:
+        if isinstance(key, Err):
             return UNAVAILABLE
         self.give_up_overdue()
         decision = await self.decide(key.ok_value, message, deadline)
@@ -126,8 +133,14 @@
             self.released.append(message.attempt_id)
         return await self.recorder.record(key.ok_value, message, self.clock())
 
-    def entry_lost(self) -> None:
-        """Mark all granted claims ``unknown``: their entry has ended."""
+    def entry_lost(self, next_incarnation: int = 0) -> None:
+        """Mark all granted claims ``unknown``: their entry has ended.
+
+        :param next_incarnation: of the entry program that runs now. Claims
+            of lower incarnations that still arrive are ``unavailable``;
+            they would be granted to nobody.
+        """
+        self.entry_incarnation = max(self.entry_incarnation, next_incarnation)
         for key, held in tuple(self.held.by_key.items()):
             held.withdrawn = True
             if held.phase is Phase.GRANTED:
@@ -138,6 +151,11 @@
         await self.tasks.close()
         await self.writer.close()
 
+    def is_withdrawn(self, message: Claim) -> bool:
+        """Tell whether nobody would use the grant of a claim."""
+        ended = 0 < message.incarnation < self.entry_incarnation
+        return ended or message.attempt_id in self.released
+
     async def decide(
         self,
         key: str,
@@ -145,13 +163,18 @@
         deadline: float,
     ) -> ClaimDecision:
         """Try until a decision other than ``in_progress`` or the deadline."""
-        poll_s = self.limits.poll_s
+        polls = 0
         while True:
             held = self.held.by_key.get(key)
             if held is None:
-                decision = await self.attempt(key, message, deadline)
-                change = asyncio.sleep(poll_s)
-                poll_s = min(poll_s * 2, self.limits.poll_most_s)
+                decision = await self.decide_free(
+                    key,
+                    message,
+                    deadline,
+                    polls > 0,
+                )
+                change = asyncio.sleep(self.limits.poll_after(polls))
+                polls += 1
             else:
                 decision = await self.decide_held(held, message, deadline)
                 change = held.changed.wait()
@@ -161,6 +184,26 @@
             if not await self.wait(change, deadline):
                 return decision
 
+    async def decide_free(
+        self,
+        key: str,
+        message: Claim,
+        deadline: float,
+        seen: bool,
+    ) -> ClaimDecision:
+        """Decide a claim whose key this host does not hold.
+
+        A key that was ``seen`` in use elsewhere is read first, so waiting
+        for another host costs the platform no writes.
+        """
+        if seen:
+            decision = await self.acquirer.peek(key, message)
+            if decision != GRANTED:
+                return decision
+        if key in self.held.by_key:
+            return IN_PROGRESS
+        return await self.attempt(key, message, deadline)
+
     async def wait(
         self,
         change: Coroutine[Any, Any, Any],
@@ -193,7 +236,7 @@
                 return await self.await_decision(held, deadline)
             return IN_PROGRESS
         if held.phase is Phase.GRANTED and own:
-            return ClaimDecision('granted')
+            return GRANTED
         if held.row.state == 'released':
             return IN_PROGRESS
         if claims.differs(held.row, message):
@@ -212,7 +255,8 @@
             if claims.differs(kept, message):
                 return ClaimDecision('mismatch')
             return kept.decision()
-        if not self.held.has_room(key):
+        # The entry may have ended or given up while the claim waited.
+        if self.is_withdrawn(message) or not self.held.has_room(key):
             return UNAVAILABLE
         held = self.acquirer.start(key, message, self.clock())
         return await self.await_decision(held, deadline)
