Share the agent link and the take-over of documents between programs

The steer and the entry program each had a copy of the poll loop and of the check of a newer document. Both now use egretmill.host_link. The router gets the share slot as its rotation and the kind of route, and the gate the expected latency of a service, as the routing module asks for.

--- a/egretmill/entry/admission.py
+++ b/egretmill/entry/admission.py
@@ -80,6 +80,7 @@
             self.state.limits,
             now,
             self.excluded,
+            idempotent=self.caller.route.idempotent,
         )
         if isinstance(chosen, Err):
             self.register_demand(chosen.err_value, now)
--- a/egretmill/entry/program.py
+++ b/egretmill/entry/program.py
@@ -48,6 +48,7 @@
         self.link = AgentLink(
             self.agent,
             settings.timing.agent_poll_s,
+            self.metrics,
             self.make_pull,
             self.state.apply,
         )
--- a/egretmill/entry/state.py
+++ b/egretmill/entry/state.py
@@ -5,14 +5,11 @@
 import time
 from collections.abc import Callable, Coroutine
 
-from result import Err
-
-from egretmill import events
 from egretmill.admission import FairQueue, Gate
 from egretmill.document import Environment, Route
 from egretmill.entry.admission import Grant
 from egretmill.entry.limits import ShareLimits
-from egretmill.logs import log_event
+from egretmill.host_link import newer_environment
 from egretmill.metrics import Metrics
 from egretmill.quota.holdings import Holdings
 from egretmill.routing import (
@@ -65,7 +62,12 @@
         self.tasks: set[asyncio.Task[None]] = set()
         #: Set when a request was refused for lack of a share.
         self.short = asyncio.Event()
-        self.gate = Gate(FairQueue(QUEUE_CAPACITY), now, self.give_back)
+        self.gate = Gate(
+            FairQueue(QUEUE_CAPACITY),
+            now,
+            self.give_back,
+            needs_s=self.table.expected_latency_s,
+        )
         self.router = Router(
             self.table,
             settings.failure_domain,
@@ -85,8 +87,8 @@
 
     def apply(self, host: messages.HostState) -> None:
         """Take over what the agent knows; a version never goes back."""
-        if host.version > self.version and host.document:
-            self.apply_document(host)
+        newer = newer_environment(host, self.version, self.metrics)
+        self.environment = newer or self.environment
         self.host = host
         if host.upstreams is not None:
             self.upstreams = host.upstreams
@@ -110,6 +112,7 @@
         if bounds == self.applied:
             return
         self.applied = bounds
+        self.router.rotation = host.slot.index if host.slot else None
         self.table.apply(environment, self.upstreams, now)
         self.holdings.apply(
             environment,
@@ -120,28 +123,6 @@
         )
         self.gate.notify()
 
-    def apply_document(self, host: messages.HostState) -> None:
-        """Put a newer version in force; a damaged one changes nothing."""
-        loaded = Environment.from_bytes(
-            host.document,
-            f'version {host.version}',
-            host.version,
-        )
-        if isinstance(loaded, Err):
-            self.metrics.count('configuration.rejected')
-            log_event(
-                events.CATALOGUE.CONFIGURATION_REJECTED,
-                version=host.version,
-                reason=str(loaded.err_value[0]),
-            )
-            return
-        self.environment = loaded.ok_value
-        log_event(
-            events.CATALOGUE.CONFIGURATION_APPLIED,
-            version=host.version,
-            digest=self.environment.digest,
-        )
-
     def is_confirmed_for(self, route: Route) -> bool:
         """Tell whether the version is fresh enough for a route."""
         if route.serves_unconfirmed:
--- a/egretmill/steer/program.py
+++ b/egretmill/steer/program.py
@@ -13,7 +13,7 @@
 from egretmill.programs import EXIT_FAILED, EXIT_OK, StopSignals
 from egretmill.settings import HostSettings
 from egretmill.steer.handlers import make_application
-from egretmill.steer.link import AgentLink
+from egretmill.steer.link import SteerLink
 from egretmill.steer.state import SteerState
 
 __all__ = ('PROGRAM', 'serve')
@@ -26,7 +26,7 @@
 async def serve(settings: HostSettings, signals: StopSignals) -> int:
     """Answer look-ups until a signal and return the exit status."""
     metrics = Metrics.from_settings(settings.metrics, 'steer')
-    state = SteerState()
+    state = SteerState(metrics)
     server = HTTPServer(
         make_application(state, metrics),
         max_header_size=MAX_READ_HEADER_BYTES,
@@ -39,7 +39,7 @@
         sys.stderr.write(f'{PROGRAM}: cannot listen on {where}: {error}\n')
         return EXIT_FAILED
     incarnation = next_incarnation(time.time())
-    link = AgentLink(settings, state, incarnation, metrics)
+    link = SteerLink(settings, state, incarnation, metrics)
     link.start()
     log_event(
         events.CATALOGUE.STARTED,
--- a/egretmill/steer/state.py
+++ b/egretmill/steer/state.py
@@ -2,11 +2,11 @@
 
 from result import Err
 
-from egretmill import events
 from egretmill.document import Environment
-from egretmill.logs import log_event
+from egretmill.host_link import newer_environment
 from egretmill.lookup.answer import Directory
 from egretmill.lookup.blocks import ClientBlocks
+from egretmill.metrics import Metrics
 from egretmill.wire.messages import HostState, PeerState
 
 __all__ = ('SteerState',)
@@ -15,8 +15,9 @@
 class SteerState:
     """Newest document, hosts and client blocks that the agent sent."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
         """Know nothing; look-ups are not ready."""
+        self.metrics = metrics
         self.environment: Environment | None = None
         self.peers: tuple[PeerState, ...] = ()
         self.directory: Directory | None = None
@@ -37,45 +38,15 @@
         A document that is damaged or older than the one in force is
         refused; the hosts are taken over in any case.
         """
-        changed = self.apply_document(state)
+        newer = newer_environment(state, self.version, self.metrics)
+        self.environment = newer or self.environment
         self.wanted_digest = state.blocks_digest
         if self.environment is None:
             return
-        if changed or state.peers != self.peers:
+        if newer or state.peers != self.peers:
             self.peers = state.peers
             self.rebuild(self.environment)
 
-    def apply_document(self, state: HostState) -> bool:
-        """Put a newer document in force; return whether there is one."""
-        if not state.document or state.version == self.version:
-            return False
-        if state.version < self.version:
-            self.reject(state, f'older than {self.version}')
-            return False
-        decoded = Environment.from_bytes(
-            state.document,
-            'document',
-            state.version,
-        )
-        if isinstance(decoded, Err):
-            self.reject(state, str(decoded.err_value[0]))
-            return False
-        self.environment = decoded.ok_value
-        log_event(
-            events.CATALOGUE.CONFIGURATION_APPLIED,
-            version=state.version,
-            digest=self.environment.digest,
-        )
-        return True
-
-    def reject(self, state: HostState, reason: str) -> None:
-        """Log a document that is not put in force."""
-        log_event(
-            events.CATALOGUE.CONFIGURATION_REJECTED,
-            version=state.version,
-            reason=reason,
-        )
-
     def rebuild(self, environment: Environment) -> None:
         """Place callers anew if the hosts to be named have changed."""
         current = self.directory
--- a/tests/agent/test_blocks.py
+++ b/tests/agent/test_blocks.py
@@ -15,6 +15,7 @@
 from egretmill.lookup.blocks import Change, ClientBlocks, Delta
 from egretmill.lookup.blocks_file import write_blocks
 from egretmill.steer.blocks import BlocksFetch
+from egretmill.metrics import Metrics
 from egretmill.steer.state import SteerState
 from egretmill.store.ports import Row
 from egretmill.wire.messages import FetchBlocks
@@ -90,7 +91,7 @@
     """Guards against look-ups that keep old client blocks."""
     _, body = table(('10.0.0.0/8', 'site-a'), ('192.0.2.0/24', 'site-b'))
     first = objects.put(body)
-    state = SteerState()
+    state = SteerState(Metrics(None))
     fetch = BlocksFetch(Direct(server), state)
     assert isinstance(await fetch.run(first), Ok)
     assert state.blocks.site_of('10.1.2.3') == 'site-a'
--- a/tests/steer/test_steer_state.py
+++ b/tests/steer/test_steer_state.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from egretmill.metrics import Metrics
 from egretmill.steer.state import SteerState
 from egretmill.wire.messages import PullState
 
@@ -17,7 +18,7 @@
 
 def test_older_document_is_not_put_in_force(agent, pull):
     """Guards against an agent that restarted with an older document."""
-    state = SteerState()
+    state = SteerState(Metrics(None))
     newer = msgspec.structs.replace(agent.host_state(pull), version=2)
     state.apply(newer)
     state.apply(agent.host_state(pull))
@@ -26,7 +27,7 @@
 
 def test_damaged_document_changes_nothing(agent, pull):
     """Guards against look-ups from a document that breaks the rules."""
-    state = SteerState()
+    state = SteerState(Metrics(None))
     state.apply(agent.host_state(pull))
     directory = state.directory
     damaged = msgspec.structs.replace(
@@ -40,7 +41,7 @@
 
 def test_no_host_at_all_keeps_the_last_hosts(agent, pull):
     """Guards against an agent that starts anew and knows no host yet."""
-    state = SteerState()
+    state = SteerState(Metrics(None))
     state.apply(agent.host_state(pull))
     directory = state.directory
     state.apply(msgspec.structs.replace(agent.host_state(pull), peers=()))
@@ -49,7 +50,7 @@
 
 def test_unchanged_hosts_are_not_placed_again(agent, pull):
     """Guards against placement work at each poll."""
-    state = SteerState()
+    state = SteerState(Metrics(None))
     state.apply(agent.host_state(pull))
     directory = state.directory
     agent.peers = tuple(
