Mend unusual requests and answers in the data path

Change: - A chunked body of GET or DELETE was sent on without its framing, so an upstream read it as a further request. It is refused with 400. - An upload that was cancelled after bytes were sent released its idempotency key, so a repeat could run it again: Exchange.sent now looks at all calls, also those that a cancellation ended. A claim that was cancelled while it waited for the agent was never released. - A caller that stalled in its body was never answered; it gets 504 shortly after the deadline. - An Idempotency-Key on an idempotent route kept work running without its caller. One that can never be claimed (open route, malformed) got 503 with Retry-After; it gets 400. - The deadline of the first attempt of a read, half of its time, cut answers that had begun; it now holds for the first byte only. - LinkMeter.spend waited until the deadline for a chunk larger than the burst of the share, or for a link that a new version had removed. It spends in parts. - An upstream that answers early and stops reading is no longer reported as failed when its answer is whole. A write to a caller that has just gone no longer ends a request that is kept for its repeat. No test of ours made these two races fail before.

Ruled out: an answer before the end of the body for every refused upload, because the reset that follows can take the answer with it.

--- a/egretmill/entry/exchange.py
+++ b/egretmill/entry/exchange.py
@@ -67,7 +67,12 @@
         self.sink = sink
         self.admission = Admission(state, caller)
         self.attempts = 0
-        self.sent = False
+        self.calls: list[UpstreamCall] = []
+
+    @property
+    def sent(self) -> bool:
+        """Tell whether a byte may have reached an upstream."""
+        return any(call.sent for call in self.calls)
 
     async def run(self) -> Result[None, Refusal]:
         """Serve the request; the answer goes to the sink.
@@ -100,7 +105,6 @@
         finally:
             took_s = self.state.now() - started_at
             self.state.finish(grant, Observation(took_s, observed))
-        self.sent = self.sent or end.sent
         if end.kind is not None:
             return Err(failure_of(end))
         if shed:
@@ -129,11 +133,14 @@
             self.caller.uri,
         )
         call = UpstreamCall(target, sink)
+        # Kept before the call, which may end by a cancellation.
+        self.calls.append(call)
         end = await call.run(
             self.upstream_headers(grant),
             MeteredBody(self.body, outward),
             CONNECT_LIMIT_S,
-            self.attempt_deadline(),
+            self.caller.deadline_at,
+            self.first_byte_deadline(),
         )
         return end, sink.dropping
 
@@ -158,8 +165,8 @@
             self.body.size,
         )
 
-    def attempt_deadline(self) -> float:
-        """Return when this attempt ends on the loop's clock."""
+    def first_byte_deadline(self) -> float:
+        """Return when the answer must begin on the loop's clock."""
         deadline_at = self.caller.deadline_at
         if not self.is_repeatable():
             return deadline_at
--- a/egretmill/entry/handler.py
+++ b/egretmill/entry/handler.py
@@ -23,6 +23,9 @@
 
 __all__ = ('ProxyHandler', 'TicketHandler')
 
+# The exchange ends at the deadline; its result is there a little later.
+LATE_BODY_S = 0.1
+
 
 class EntryHandler(web.RequestHandler):
     """Base of the handlers: error answers instead of tracebacks."""
@@ -90,6 +93,10 @@
         if not is_small(self.caller.body_size):
             self.upload = StreamedBody(self.caller.body_size)
             self.serve(self.caller, self.upload)
+        asyncio.get_running_loop().call_at(
+            self.caller.deadline_at + LATE_BODY_S,
+            self.end_late_body,
+        )
 
     def bound_body(self, caller: CallerRequest) -> None:
         """Let tornado accept as many bytes as the route allows."""
@@ -121,6 +128,24 @@
             outcome = Outcome.UNKNOWN
         self.refuse(Refusal(failure, outcome))
 
+    def end_late_body(self) -> None:
+        """Answer a caller whose body has not arrived in its time."""
+        if self.complete or self.caller is None or self.sink.detached:
+            return
+        self.caller = None
+        if self.serving is None:
+            failure = Failure(ErrorKind.QUEUE_TIMEOUT, 'body came too late')
+            self.refuse(Refusal.before_sending(failure))
+        elif self.serving.done() and not self.serving.cancelled():
+            self.conclude(self.serving.result())
+
+    def conclude(self, served: Result[None, Refusal]) -> None:
+        """End the answer."""
+        if isinstance(served, Err):
+            self.refuse(served.err_value)
+        elif not self._finished:
+            self.sink.end()
+
     def serve(self, caller: CallerRequest, body: Body) -> None:
         """Start to serve in the background."""
         self.serving = asyncio.create_task(
@@ -134,6 +159,7 @@
         if self.caller is None:
             return
         self.complete = True
+        self.sink.kept = self.is_kept()
         if self.upload is None:
             self.serve(self.caller, BufferedBody(bytes(self.chunks)))
         else:
@@ -143,10 +169,7 @@
         except asyncio.CancelledError:
             self.sink.break_off()
             return
-        if isinstance(served, Err):
-            self.refuse(served.err_value)
-        elif not self._finished:
-            self.sink.end()
+        self.conclude(served)
 
     def on_connection_close(self) -> None:
         """Cancel the upstream's work when the caller is gone.
@@ -163,7 +186,7 @@
         """Tell whether the request runs on without its caller."""
         if self.caller is None or self.caller.idempotency_key is None:
             return False
-        return self.complete
+        return self.complete and not self.caller.route.idempotent
 
     get = answer
     head = answer
--- a/egretmill/entry/ledgers.py
+++ b/egretmill/entry/ledgers.py
@@ -74,7 +74,11 @@
             attempt_id=self.attempt_id,
             timeout_s=remaining_s - CALL_MARGIN_S,
         )
-        answer = await self.agent.call(claim, remaining_s)
+        try:
+            answer = await self.agent.call(claim, remaining_s)
+        except asyncio.CancelledError:
+            self.state.spawn(self.end('released', None))
+            raise
         if isinstance(answer, Ok) and isinstance(
             answer.ok_value,
             ClaimDecision,
--- a/egretmill/entry/limits.py
+++ b/egretmill/entry/limits.py
@@ -9,6 +9,11 @@
 
 # How long a stream waits when its link share has no known time of refill.
 LINK_WAIT_S = 0.02
+# A longer wait would miss a loan or a change of the share.
+LINK_WAIT_MOST_S = 0.25
+LINK_PART_BYTES = 16384
+# Smaller parts cost more than they move.
+LEAST_PART_BYTES = 512
 
 
 def account_total(account: str) -> str:
@@ -80,12 +85,35 @@
         )
 
     async def spend(self, size: int) -> None:
-        """Wait until a number of bytes fits into the share."""
-        if not self.metered:
-            return
-        now = asyncio.get_running_loop().time
-        while True:
-            taken = self.holdings.try_take(self.total, size, now())
-            if not isinstance(taken, Refused):
-                return
-            await asyncio.sleep(taken.after_s or LINK_WAIT_S)
+        """Wait until a number of bytes fits into the share.
+
+        The bytes are taken in parts, because a share can be smaller than
+        a chunk. The wait ends with the deadline of the call, which cancels
+        it.
+        """
+        waited = False
+        while size > 0 and self.is_metered():
+            now = asyncio.get_running_loop().time()
+            part = self.part_of(size, now)
+            taken = self.holdings.try_take(self.total, part, now, waited=waited)
+            waited = isinstance(taken, Refused)
+            if isinstance(taken, Refused):
+                wait_s = taken.after_s or LINK_WAIT_S
+                await asyncio.sleep(min(wait_s, LINK_WAIT_MOST_S))
+            else:
+                size -= part
+
+    def is_metered(self) -> bool:
+        """Tell whether the link still has a limit; versions change."""
+        totals = self.holdings.ownership.totals
+        if not self.metered or totals is None:
+            return False
+        return totals.find(self.total) is not None
+
+    def part_of(self, size: int, now: float) -> int:
+        """Return how many bytes to take at once."""
+        at_hand = int(self.holdings.available(self.total, now))
+        holding = self.holdings.holdings[self.total]
+        capacity = int(holding.bucket.level.capacity)
+        least = min(LEAST_PART_BYTES, max(capacity, 1))
+        return min(size, LINK_PART_BYTES, max(at_hand, least))
--- a/egretmill/entry/request.py
+++ b/egretmill/entry/request.py
@@ -15,6 +15,7 @@
 MAX_HEADER_BYTES = 16384
 MAX_REQUEST_ID_CHARACTERS = 64
 MILLISECONDS = 1000
+CHUNKED_METHODS = frozenset(('POST', 'PUT'))
 #: Name under which requests of open routes queue; they have no account.
 OPEN_ACCOUNT = '(open)'
 
@@ -58,7 +59,7 @@
     account = authenticate(route, request.headers, environment)
     if isinstance(account, Err):
         return account
-    size = body_size(request.headers, route)
+    size = body_size(request.method or '', request.headers, route)
     if isinstance(size, Err):
         return size
     limit_ms = time_limit_ms(request.headers, route)
@@ -96,11 +97,17 @@
 
 
 def body_size(
+    method: str,
     headers: HTTPHeaders,
     route: Route,
 ) -> Result[int | None, Failure]:
     """Return the announced body size, ``None`` for a chunked body."""
     if 'Transfer-Encoding' in headers:
+        if method not in CHUNKED_METHODS:
+            # tornado's client frames chunks for these methods only; the
+            # body of another one would be read as a further request.
+            detail = f'{method} needs a Content-Length'
+            return Err(Failure(ErrorKind.BAD_REQUEST, detail))
         return Ok(None)
     text = headers.get('Content-Length', '0')
     if not (text.isascii() and text.isdigit()):
--- a/egretmill/entry/service.py
+++ b/egretmill/entry/service.py
@@ -18,6 +18,7 @@
 from egretmill.entry.sink import CallerSink
 from egretmill.entry.state import EntryState
 from egretmill.errors import ErrorKind, Failure
+from egretmill.ledger.claims import row_key
 from egretmill.ledger.tickets import Ticket, TicketBook
 from egretmill.logs import log_event
 from egretmill.metrics import Metrics
@@ -85,6 +86,9 @@
         exchange = Exchange(self.state, caller, body, sink)
         if caller.idempotency_key is None or caller.route.idempotent:
             return await exchange.run()
+        usable = check_idempotency_key(caller)
+        if isinstance(usable, Err):
+            return Err(Refusal.before_sending(usable.err_value))
         ticket = Ticket.parse(caller.idempotency_key)
         if ticket is not None and ticket.host != self.state.settings.name:
             if header_names.FORWARDED_BY in caller.headers:
@@ -161,3 +165,14 @@
         """Wait until no request runs and all records are handed over."""
         while self.state.running or self.state.tasks:
             await asyncio.sleep(0.02)
+
+
+def check_idempotency_key(caller: CallerRequest) -> Result[str, Failure]:
+    """Refuse a key that can never be claimed.
+
+    Callers of an open route have no account that keeps their keys apart.
+    """
+    if caller.account is None:
+        detail = 'an Idempotency-Key needs a route with a client account'
+        return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+    return row_key(caller.account_name, caller.idempotency_key or '')
--- a/egretmill/entry/sink.py
+++ b/egretmill/entry/sink.py
@@ -33,6 +33,7 @@
         self.copied_all = True
         self.size = 0
         self.detached = False
+        self.kept = False
 
     def detach(self) -> None:
         """Only record from now on, because the caller is gone."""
@@ -56,8 +57,15 @@
 
     async def flush(self) -> None:
         """Send what was written, unless nobody listens any more."""
-        if not self.detached:
+        if self.detached:
+            return
+        try:
             await self.handler.flush()
+        except StreamClosedError:
+            # A write may learn of the close before the handler does.
+            if not self.kept:
+                raise
+            self.detach()
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body; waits for a slow caller."""
--- a/egretmill/entry/upstream_call.py
+++ b/egretmill/entry/upstream_call.py
@@ -85,6 +85,9 @@
         self.writer: asyncio.Task[None] | None = None
         self.sent = False
         self.whole = False
+        self.limit: asyncio.Timeout | None = None
+        self.deadline_at = 0.0
+        self.send_fault = ''
         self.status = 0
         self.draining = False
         self.caller_gone = False
@@ -98,14 +101,19 @@
         body: ChunkSource,
         connect_s: float,
         deadline_at: float,
+        first_byte_at: float | None = None,
     ) -> CallEnd:
         """Connect, send the request and pass the answer to the sink.
 
         :param connect_s: limit for the connect, in seconds.
         :param deadline_at: end of the whole call on the loop's clock.
+        :param first_byte_at: when the answer must have begun, if earlier.
         """
+        self.deadline_at = deadline_at
+        begin_by = deadline_at if first_byte_at is None else first_byte_at
+        self.limit = asyncio.timeout_at(begin_by)
         try:
-            async with asyncio.timeout_at(deadline_at):
+            async with self.limit:
                 return await self.exchange(headers, body, connect_s)
         except TimeoutError:
             return self.ended(ErrorKind.UPSTREAM_TIMEOUT, 'deadline')
@@ -141,7 +149,11 @@
             await connection.read_response(self)
         if self.whole:
             return self.ended(None, '')
-        detail = self.fault or 'the connection closed before the end'
+        detail = (
+            self.fault
+            or self.send_fault
+            or 'the connection closed before the end'
+        )
         return self.ended(ErrorKind.UPSTREAM_FAILED, detail)
 
     async def connect(self, connect_s: float) -> IOStream:
@@ -177,7 +189,8 @@
                 await connection.write(chunk)
             connection.finish()
         except (StreamClosedError, httputil.HTTPOutputError) as error:
-            self.fault = f'send: {type(error).__name__}'
+            # An upstream may answer before it has read the whole body.
+            self.send_fault = f'send: {type(error).__name__}'
 
     async def headers_received(
         self,
@@ -187,6 +200,7 @@
         """Pass status and headers on; interim answers are dropped."""
         if start_line.code < FIRST_FINAL_STATUS:
             return
+        self.extend_limit()
         now = asyncio.get_running_loop().time()
         self.first_byte_s = now - self.started_at
         self.status = start_line.code
@@ -199,6 +213,11 @@
             return
         await self.pass_on(self.sink.start(start_line.code, headers))
 
+    def extend_limit(self) -> None:
+        """Give an answer that has begun the time of the whole call."""
+        if self.limit is not None and not self.limit.expired():
+            self.limit.reschedule(self.deadline_at)
+
     def is_framed(self, headers: httputil.HTTPHeaders) -> bool:
         """Tell whether the end of the answer can be recognised."""
         if self.target.method == 'HEAD' or self.status in {204, 304}:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -135,6 +135,12 @@
         server.listen(record.port, record.address)
         self.servers[name] = server
 
+    def move_upstreams(self, place: dict[str, object]) -> None:
+        """Let all upstreams be reached at another place."""
+        for name, record in self.records.items():
+            self.records[name] = msgspec.structs.replace(record, **place)
+        self.apply(upstreams_digest=str(place))
+
     async def fetch(self, path: str, **options: object) -> HTTPResponse:
         """Make a request with the key; statuses are not raised."""
         headers = {'X-Api-Key': KEY} | dict(options.pop('headers', {}))
--- /dev/null
+++ b/tests/entry/test_protocol.py
@@ -0,0 +1,232 @@
+"""Unusual requests and answers of HTTP through the entry program."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from egretmill.entry.limits import LinkMeter
+from egretmill.entry.ledgers import ClaimLedger
+from egretmill.quota.holdings import Holdings
+from egretmill.document import Environment
+from egretmill.wire.messages import RecordAnswer, ShareSlot
+from tests.entry.harness import ADDRESS, DOCUMENT, KEY, running_entry
+
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+@contextlib.asynccontextmanager
+async def raw_upstream(answer, read=b'\r\n\r\n', *, keep=0):
+    """Run an entry whose upstreams send bytes after reading a request."""
+    seen = []
+
+    async def serve(reader, writer):
+        seen.append(await reader.readuntil(read))
+        writer.write(answer)
+        await writer.drain()
+        with contextlib.suppress(TimeoutError):
+            seen.append(await asyncio.wait_for(reader.read(65536), keep))
+        writer.close()
+
+    server = await asyncio.start_server(serve, ADDRESS, 0)
+    port = server.sockets[0].getsockname()[1]
+    async with running_entry() as entry:
+        place = {'address': ADDRESS, 'port': port}
+        entry.move_upstreams(place)
+        entry.seen = seen
+        yield entry
+    server.close()
+
+
+def head(line, *fields):
+    """Return the head of a raw request with the key."""
+    lines = [f'{line} HTTP/1.1', 'Host: x', f'X-Api-Key: {KEY}', *fields]
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer', 'status'),
+    [
+        ('HEAD', b'HTTP/1.1 200 OK\r\nContent-Length: 70\r\n\r\n', 200),
+        ('GET', b'HTTP/1.1 204 No Content\r\n\r\n', 204),
+        ('GET', b'HTTP/1.1 304 X\r\nContent-Length: 70\r\n\r\n', 304),
+        ('GET', b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n' + WHOLE, 200),
+        ('GET', b'HTTP/1.1 100 Continue\r\n\r\n' + WHOLE, 200),
+    ],
+)
+async def test_answers_without_a_body_or_with_interim_ones(
+    method,
+    answer,
+    status,
+):
+    """Guards against callers that wait for a body that never comes."""
+    async with raw_upstream(answer) as entry:
+        got = await entry.raw(head(f'{method} /board', 'Connection: close'))
+        assert got.split(b' ')[1] == str(status).encode()
+        assert got.endswith(b'\r\n\r\nok' if b'ok' in answer else b'\r\n\r\n')
+
+
+async def test_repeated_answer_headers_are_kept():
+    """Guards against cookies that are merged into one header."""
+    answer = WHOLE.replace(
+        b'\r\n', b'\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n', 1
+    )
+    async with raw_upstream(answer) as entry:
+        got = await entry.raw(head('GET /board', 'Connection: close'))
+        assert got.count(b'Set-Cookie: ') == 2
+
+
+async def test_early_answer_to_an_upload_reaches_the_caller():
+    """Guards against an early answer that is reported as a failure."""
+    answer = b'HTTP/1.1 403 No\r\nContent-Length: 2\r\n\r\nno'
+    async with raw_upstream(answer) as entry:
+        got = await entry.fetch('/intake', method='POST', body=b'x' * 4000000)
+        assert (got.code, got.body) == (403, b'no')
+
+
+async def test_chunked_upload_arrives_and_expect_is_answered():
+    """Guards against callers that wait for ``100 Continue``."""
+    async with running_entry() as entry:
+        request = head(
+            'POST /intake',
+            'Connection: close',
+            'Expect: 100-continue',
+            'Transfer-Encoding: chunked',
+        )
+        got = await entry.raw(request + b'3\r\nabc\r\n0\r\n\r\n')
+        assert got.startswith(b'HTTP/1.1 100 ')
+        assert b'"received": 3' in got
+
+
+async def test_chunked_body_cannot_carry_a_further_request():
+    """Guards against a body that an upstream reads as a request (P3)."""
+    hidden = b'GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n'
+    body = b'%x\r\n%s\r\n0\r\n\r\n' % (len(hidden), hidden)
+    async with raw_upstream(WHOLE, keep=0.2) as entry:
+        request = head('DELETE /board', 'Transfer-Encoding: chunked')
+        got = await entry.raw(request + body, 0.5)
+        assert b' 400 ' in got.split(b'\r\n')[0]
+        assert not any(b'hidden' in part for part in entry.seen)
+
+
+@pytest.mark.parametrize('size', [10, 100000])
+async def test_body_that_stalls_is_answered(size):
+    """Guards against callers that hold a connection without an end."""
+    async with running_entry() as entry:
+        request = head(
+            'POST /intake',
+            f'Content-Length: {size}',
+            'X-Deadline-Ms: 300',
+        )
+        got = await entry.raw(request + b'x' * 5, 1.5)
+        assert b' 504 ' in got.split(b'\r\n')[0]
+        assert entry.state.running == 0
+
+
+async def test_idempotency_key_does_not_keep_a_read_running():
+    """Guards against work that goes on without its caller."""
+    async with running_entry() as entry:
+        entry.faults('board', service_s=0.6)
+        _, writer = await asyncio.open_connection(ADDRESS, entry.port)
+        writer.write(head('GET /board', 'Idempotency-Key: a'))
+        await asyncio.sleep(0.1)
+        assert entry.state.running == 1
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert entry.state.running == 0
+
+
+@pytest.mark.parametrize(
+    ('path', 'key'),
+    [('/submit', 'a'), ('/ledger', 'x' * 300), ('/ledger', 'a b')],
+)
+async def test_key_that_cannot_be_claimed_is_a_bad_request(path, key):
+    """Guards against "try again later" where no repeat can help."""
+    async with running_entry() as entry:
+        answer = await entry.fetch(
+            path,
+            method='POST',
+            body=b'{}',
+            headers={'Idempotency-Key': key},
+        )
+        assert answer.code == 400
+
+
+async def test_slow_answer_to_a_read_has_the_whole_time_limit():
+    """Guards against a read that is cut at half of its time limit."""
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok'
+    async with raw_upstream(answer, keep=0.7) as entry:
+        started_at = time.monotonic()
+        await entry.raw(head('GET /board', 'X-Deadline-Ms: 800'))
+        assert int((time.monotonic() - started_at) * 1000) >= 650
+
+
+class Agent:
+    """Never answers a claim; keeps what it is told."""
+
+    def __init__(self):
+        """Start without records."""
+        self.records = []
+
+    async def call(self, message, timeout_s):
+        """Wait for ever unless told a record."""
+        if not isinstance(message, RecordAnswer):
+            await asyncio.sleep(timeout_s)
+        self.records.append(message)
+
+    def close(self):
+        """Do nothing."""
+
+
+@pytest.mark.parametrize(
+    ('step', 'state'),
+    [('claim', 'released'), ('send', 'unknown')],
+)
+async def test_cancelled_upload_tells_the_ledger(step, state, monkeypatch):
+    """Guards against a claim that stays, or is free after a byte was sent."""
+    agent = Agent()
+    async with running_entry() as entry:
+        entry.program.service.agent = agent
+        if step == 'send':
+            granted = asyncio.sleep(
+                0, type('Granted', (), {'status': 'granted'})
+            )
+            monkeypatch.setattr(ClaimLedger, 'begin', lambda _: granted)
+        _, writer = await asyncio.open_connection(ADDRESS, entry.port)
+        fields = ('Content-Length: 200000', 'Idempotency-Key: a')
+        writer.write(head('POST /intake', *fields) + b'x' * 100000)
+        await asyncio.sleep(0.2)
+        writer.close()
+        await asyncio.sleep(0.2)
+        assert [told.state for told in agent.records if told] == [state]
+
+
+LINK = """
+[[links]]
+regions = ["region-a", "region-b"]
+megabits_per_s = 0.16
+"""
+
+
+async def test_chunk_larger_than_the_burst_of_a_link_passes():
+    """Guards against a stream that waits for ever for its link share."""
+    text = DOCUMENT.read_text().replace('@digest@', 'sha256:' + '0' * 64)
+    text = text.replace(
+        '[{ name = "region-a" }]',
+        '[{ name = "region-a" }, { name = "region-b" }]',
+    )
+    loaded = Environment.from_bytes((text + LINK).encode(), 'test', 1)
+    environment = loaded.unwrap()
+    holdings = Holdings('host-1', 1)
+    now = time.monotonic()
+    slot = ShareSlot(0, 1, now + 600, now - 10)
+    holdings.apply(environment, (), slot, 1, now - 5)
+    meter = LinkMeter(holdings, environment, 'region-a', 'region-b')
+    started_at = time.monotonic()
+    async with asyncio.timeout(2):
+        await meter.spend(6000)
+    assert int((time.monotonic() - started_at) * 1000) >= 150
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.05):
+            await meter.spend(50000)
