Serve small accounts from parts of tokens of several hosts

Cause: an account with burst 4 on 7 hosts and skewed callers had 145 of 213 entitled requests refused (static split: 153). The owners held parts of a token that no request could use, and loans of rate left capacity at hosts that own none.

Change: of totals with less than two tokens per host, only tokens are lent, in parts, by all peers at once, and given back when the request has been served or has given up. A refusal for lack of tokens pauses a peer for a fixed time, which is now 0.06 s; refusals of rate double their pause while they follow each other. Tokens are held for 0.2 s of demand, not 0.3 s.

--- a/egretmill/quota/asking.py
+++ b/egretmill/quota/asking.py
@@ -71,7 +71,9 @@
             return
         earlier = self.pauses.get(place)
         length_s = self.policy.refused_s
-        if earlier:
+        # Tokens come back within a request's wait, rates and slots do not.
+        lasting = borrow.amount > 0
+        if earlier and lasting and now < earlier.until + earlier.length_s:
             length_s = min(earlier.length_s * 2, self.policy.refused_most_s)
         self.pauses[place] = _Pause(now + length_s, length_s)
 
--- a/egretmill/quota/policy.py
+++ b/egretmill/quota/policy.py
@@ -42,7 +42,7 @@
     renews: bool = True
     demand_s: float = 8.0
     unmet_s: float = 0.2
-    horizon_s: float = 0.3
+    horizon_s: float = 0.2
     ask_below: float = 0.9
     ask_up_to: float = 1.05
     keep: float = 1.0
@@ -51,7 +51,7 @@
     tokens_s: float = 0.25
     returns_tokens: bool = True
     renew_part: float = 0.5
-    refused_s: float = 0.1
+    refused_s: float = 0.06
     refused_most_s: float = 0.8
     unanswered_s: float = 0.5
     idle_s: float = 1.0
--- a/egretmill/quota/rate_policy.py
+++ b/egretmill/quota/rate_policy.py
@@ -4,7 +4,7 @@
 import math
 
 from egretmill.quota.division import Share
-from egretmill.quota.policy import Need, Policy
+from egretmill.quota.policy import SLIGHT, Need, Policy
 
 __all__ = ('RateView',)
 
@@ -36,10 +36,14 @@
         """Return how many tokens to lend, in whole tokens.
 
         A part of a token serves no request. Sharing evenly keeps the next
-        question away from both sides.
+        question away from both sides. Where all hosts hold parts of tokens,
+        a request is served by parts from several of them.
         """
         expected = self.rate * self.policy.horizon_s
         kept = self.unmet + min(expected, self.tokens / 2)
+        if self.is_small:
+            spare = min(self.tokens - self.unmet, self._free_capacity)
+            return max(0.0, min(asked, spare))
         spare = math.floor(self.tokens - kept + HALF)
         most = min(spare, self.tokens, self._free_capacity, math.ceil(asked))
         return float(max(0, math.floor(most)))
@@ -64,7 +68,7 @@
         if tokens:
             more = max(tokens, more)
         capacity = max(0.0, old.capacity + more)
-        if capacity < 1 and self.owned.capacity < FEW_TOKENS:
+        if capacity < 1 and self.is_small:
             amount = 0.0
         return Share(amount, capacity)
 
@@ -74,9 +78,14 @@
         if self.level.amount < self.rate * self.policy.ask_below:
             missing = self.rate * self.policy.ask_up_to - self.level.amount
         wanted = 1 + self.rate * self.policy.horizon_s / 3 + self.unmet
+        if self.is_small:
+            wanted = math.ceil(self.unmet)
         short = 0.0
         if self.tokens < self.policy.tokens_low(self.rate, self.unmet):
             short = wanted - self.tokens
+        if self.is_small:
+            # The rate of a token that lies elsewhere serves nobody here.
+            return Need(0.0, short if self.unmet > SLIGHT else 0.0)
         return Need(missing, short)
 
     def can_do_without(self, share: Share) -> bool:
@@ -84,6 +93,11 @@
         rate = self.rate * self.policy.ask_up_to
         return self.level.amount - share.amount > rate
 
+    @property
+    def is_small(self) -> bool:
+        """Tell whether hosts own few tokens of the total, or none."""
+        return self.owned.capacity < FEW_TOKENS
+
     @property
     def _free_capacity(self) -> float:
         return self.owned.capacity - self.lent.capacity
--- a/egretmill/quota/rates.py
+++ b/egretmill/quota/rates.py
@@ -21,6 +21,10 @@
 __all__ = ('RateHolding',)
 
 
+#: Less unmet demand than this comes from a request that has given up.
+OVER = 0.37
+
+
 class RateHolding(Holding):
     """One host's part of a rate total.
 
@@ -150,7 +154,7 @@
         if need.amount:
             yield from _ask_rate(self, need, free)
         elif need:
-            yield from _ask_tokens(self, need, free)
+            yield from _ask_tokens(self, view, need, free)
 
     def _set_level(self, at: float) -> None:
         self.lent.expire(at)
@@ -199,6 +203,8 @@
 ) -> Question | None:
     if not part.share.amount:
         unused = holding.bucket.level.capacity - holding.bucket.tokens
+        if view.is_small and view.unmet < OVER:
+            return Question(part.peer, Need(), part=part)
         if holding.policy.returns_tokens and unused >= part.share.capacity:
             return Question(part.peer, Need(), part=part)
         return None
@@ -234,12 +240,17 @@
 
 def _ask_tokens(
     holding: RateHolding,
+    view: RateView,
     need: Need,
     askable: Sequence[str],
 ) -> Iterator[Question]:
-    """Ask a few peers for tokens alone, for a short time."""
+    """Ask for tokens alone, for a short time.
+
+    A few peers are asked, and all where each has only a part of a token.
+    """
     wanted = math.ceil(need.tokens / holding.policy.tokens_per_peer)
     duration_s = min(holding.policy.tokens_s, holding.duration_s())
-    for peer in askable[:wanted]:
-        portion = split(need, min(wanted, len(askable)))
+    asked = askable if view.is_small else askable[:wanted]
+    for peer in asked:
+        portion = need if view.is_small else split(need, len(asked))
         yield Question(peer, portion, duration_s)
