Bound orphans in a test and quiet the printed matrix

Cause: nothing tested that an outage with many repeats keeps a bounded number of orphans and settles them in few writes, and the printed matrix was mixed with log lines.

Change: a test with 110 refused claims in an outage, and a log level for `python -m bench.ledger_matrix`.

--- a/bench/ledger_matrix.py
+++ b/bench/ledger_matrix.py
@@ -15,6 +15,7 @@
 import sys
 from collections.abc import Iterator
 
+from egretmill import logs
 from tests.fakes import FakeTable, Fault
 from tests.ledger.support import Fleet, claim, record
 from tests.virtual_time import run_virtual
@@ -237,6 +238,7 @@
 
 def main() -> None:
     """Print all cells; fail when one is empty."""
+    logs.configure('ERROR', 'text')
     print('step | fault | first | during | later | runs')
     empty = 0
     for cell in all_cells():
--- a/tests/ledger/test_service.py
+++ b/tests/ledger/test_service.py
@@ -223,6 +223,25 @@
     assert (await service.claim(claim())).status == 'granted'
 
 
+@in_virtual_time
+async def test_orphans_of_an_outage_are_bounded_and_settled(fleet):
+    """Guards against memory that grows with repeats in an outage."""
+    limits = ClaimLimits(held=50, orphans_per_key=4)
+    service = fleet.start('a', limits=limits)
+    switches = fleet.stores['a'].switches
+    switches.down = True
+    keys = [KEY for _ in range(10)] + [f'k{number}' for number in range(100)]
+    decisions = await in_turn(service.claim(claim(key)) for key in keys)
+    assert {decision.status for decision in decisions} == {'unavailable'}
+    assert len(service.held.orphans) == 50
+    assert len(service.held.orphans[f'claims/rota/{KEY}']) == 4
+    switches.down = False
+    await asyncio.sleep(15)
+    assert not service.held.orphans
+    assert fleet.table.transactions in range(2, 6)
+    assert (await service.claim(claim())).status == 'granted'
+
+
 @in_virtual_time
 async def test_record_is_kept_until_the_platform_answers(fleet):
     """Guards against a lost answer when the platform fails meanwhile."""
