Wire the incarnation of claims, the known slot and the source address

An agent that restarted reported no slot until it had read the row, and the entry program dropped a slot whose lease still ran; the host state now says whether the slot is known. Claims carry the incarnation of the entry program, so claims of an ended one are not granted.

--- a/egretmill/agent/program.py
+++ b/egretmill/agent/program.py
@@ -46,7 +46,10 @@
             next_incarnation(time.time()),
             self.metrics,
         )
-        self.store = StoreClient.from_settings(settings.platform)
+        self.store = StoreClient.from_settings(
+            settings.platform,
+            settings.address,
+        )
         self.links = PeerLinks()
         self.promoter = TrackedPromoter(
             self.store,
@@ -178,7 +181,7 @@
             if local.incarnation not in {0, report.incarnation}:
                 # The earlier entry program can no longer tell how the
                 # requests ended for which it held claims.
-                self.claims.entry_lost()
+                self.claims.entry_lost(report.incarnation)
         local.incarnation = report.incarnation
         local.ready = report.ready
         local.leaving = report.leaving
--- a/egretmill/agent/state.py
+++ b/egretmill/agent/state.py
@@ -134,6 +134,7 @@
                 self.share_slots,
             ),
             slot=self.slot(),
+            slot_known=self.keeper is not None and self.keeper.informed,
             peers=self.peer_states(),
             upstreams=self.upstreams_for(asked),
             upstreams_digest=self.upstreams_digest,
--- a/egretmill/entry/ledgers.py
+++ b/egretmill/entry/ledgers.py
@@ -73,6 +73,7 @@
             request_digest=self.digest,
             attempt_id=self.attempt_id,
             timeout_s=remaining_s - CALL_MARGIN_S,
+            incarnation=self.state.incarnation,
         )
         try:
             answer = await self.agent.call(claim, remaining_s)
--- a/egretmill/entry/state.py
+++ b/egretmill/entry/state.py
@@ -49,6 +49,7 @@
         self.now = now
         self.environment: Environment | None = None
         self.host: messages.HostState | None = None
+        self.slot: messages.ShareSlot | None = None
         self.upstreams: tuple[messages.UpstreamRecord, ...] = ()
         self.upstreams_digest = ''
         self.applied: tuple[object, ...] = ()
@@ -103,21 +104,23 @@
     ) -> None:
         """Take over what bounds decisions, if any of it has changed."""
         now = self.now()
+        if host.slot is not None or host.slot_known:
+            self.slot = host.slot
         bounds = (
             self.version,
             self.upstreams_digest,
-            host.slot,
+            self.slot,
             host.settled_version,
         )
         if bounds == self.applied:
             return
         self.applied = bounds
-        self.router.rotation = host.slot.index if host.slot else None
+        self.router.rotation = self.slot.index if self.slot else None
         self.table.apply(environment, self.upstreams, now)
         self.holdings.apply(
             environment,
             self.upstreams,
-            host.slot,
+            self.slot,
             host.settled_version,
             now,
         )
--- a/egretmill/wire/messages.py
+++ b/egretmill/wire/messages.py
@@ -126,6 +126,8 @@
 
     ``document`` is empty when the asker already has ``version``, and
     ``upstreams`` is ``None`` when it has those of ``upstreams_digest``.
+    Before ``slot_known`` a missing slot says nothing: the agent has
+    restarted, and an entry program keeps the slot that it has.
     ``confirmed_at`` is the monotonic time at which ``version`` was last
     confirmed as the newest. ``settled_version`` is the lowest version that
     any holder of a share slot may still apply.
@@ -141,6 +143,7 @@
     upstreams: tuple[UpstreamRecord, ...] | None
     upstreams_digest: str = ''
     blocks_digest: str = ''
+    slot_known: bool = True
 
 
 class StoredAnswer(Record):
