Close connections of a leaving host only after their answers are sent

Cause: during a shutdown callers stayed on their kept-alive connections, idle connections stayed open, and requests whose small body was still arriving, or whose answer was still in the send buffer, were not waited for.

Change: answers of a leaving host carry "Connection: close" and the host closes the connection once the answer is sent. A request counts as open from its head to the last byte of its answer; EntryProgram.stop waits for open requests and then closes the idle connections.

Ruled out: closing idle connections at the start of the drain, because a caller may be sending a request on one at that moment.

Conclusion: a request that arrives in the instant in which an idle connection is closed is still cut before it is read; HTTP/1.1 leaves that to the caller.

--- a/egretmill/entry/handler.py
+++ b/egretmill/entry/handler.py
@@ -25,6 +25,7 @@
 
 # The exchange ends at the deadline; its result is there a little later.
 LATE_BODY_S = 0.1
+SENT_POLL_S = 0.02
 
 
 class EntryHandler(web.RequestHandler):
@@ -36,6 +37,38 @@
         self.sink = CallerSink(self, uuid.uuid4().hex)
         self.request_method = ''
 
+    def prepare(self) -> None:
+        """Count the request as open; a shutdown waits for it."""
+        self.service.open_requests.add(self)
+
+    def flush(self, include_footers: bool = False):  # noqa: FBT001,FBT002
+        """Tell callers of a leaving host to connect elsewhere."""
+        if self.service.state.leaving and not self._headers_written:
+            self.set_header('Connection', 'close')
+        return super().flush(include_footers)
+
+    def finish(self, chunk=None):
+        """Finish the answer; the request is open until it is sent."""
+        finishing = super().finish(chunk)
+        finishing.add_done_callback(lambda _: self.end_open())
+        return finishing
+
+    def end_open(self) -> None:
+        """Count the request as ended once nothing is left to send."""
+        connection = self.request.connection
+        stream = getattr(connection, 'stream', None)
+        if stream is not None and stream.writing():
+            loop = asyncio.get_running_loop()
+            loop.call_later(SENT_POLL_S, self.end_open)
+            return
+        self.service.open_requests.discard(self)
+        if self.service.state.leaving:
+            self.sink.break_off()
+
+    def on_connection_close(self) -> None:
+        """Count the request of a caller that is gone as ended."""
+        self.service.open_requests.discard(self)
+
     def compute_etag(self) -> None:
         """Answers carry the upstream's ETag or none."""
 
@@ -83,6 +116,7 @@
 
     async def prepare(self) -> None:
         """Check the head; large bodies are served while they arrive."""
+        super().prepare()
         parsed = self.service.parse(self.request)
         if isinstance(parsed, Err):
             self.refuse(Refusal.before_sending(parsed.err_value))
@@ -177,6 +211,7 @@
         A request with an idempotency key that has arrived in full goes on,
         so that a repeat gets its answer.
         """
+        super().on_connection_close()
         self.sink.detach()
         if self.serving is None or self.is_kept():
             return
--- a/egretmill/entry/program.py
+++ b/egretmill/entry/program.py
@@ -130,6 +130,8 @@
         await asyncio.sleep(self.settings.timing.drain_s)
         self.http.stop()
         await self.service.drained()
+        # What is open now is idle. A request that arrives later would be cut.
+        await self.http.close_all_connections()
         await self.loans.give_back()
 
     async def close(self) -> None:
--- a/egretmill/entry/service.py
+++ b/egretmill/entry/service.py
@@ -36,6 +36,8 @@
         self.agent = agent
         self.book = TicketBook(state.settings.name, state.incarnation)
         self.rng = random.SystemRandom()
+        #: Handlers of requests whose answer is not sent yet.
+        self.open_requests: set[object] = set()
 
     @property
     def metrics(self) -> Metrics:
@@ -162,8 +164,8 @@
         )
 
     async def drained(self) -> None:
-        """Wait until no request runs and all records are handed over."""
-        while self.state.running or self.state.tasks:
+        """Wait until no request is open and all records are handed over."""
+        while self.open_requests or self.state.running or self.state.tasks:
             await asyncio.sleep(0.02)
 
 
