--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -74,8 +74,11 @@
         self.base = f'http://{ADDRESS}:{self.port}'
         self.apply(self.text)
 
-    def add_upstream(self, service: str, name: str, slots: int = 4) -> None:
-        """Start a stand-in upstream at the one site."""
+    def add_upstream(
+        self, service: str, name: str, site: str = 'site-a'
+    ) -> None:
+        """Start a stand-in upstream at a site."""
+        slots = 4
         upstream = standin.Upstream(name, slots)
         server = HTTPServer(
             standin.make_application(upstream),
@@ -89,7 +92,7 @@
         self.records[name] = UpstreamRecord(
             name=name,
             service=service,
-            site='site-a',
+            site=site,
             address=address,
             port=port,
             slots=slots,
--- a/tests/entry/test_shutdown.py
+++ b/tests/entry/test_shutdown.py
@@ -56,7 +56,8 @@
         callers[2][1].write(b'xx')
         async with asyncio.timeout(2):
             *answers, nothing = await asyncio.gather(
-                *(reader.read() for reader, _ in [*callers, idle]),
+                *(reader.read() for reader, _ in callers),
+                idle[0].read(),
             )
             await stopping
         assert nothing == b''
