Drop the timer of a request whose body has arrived

Cause: the timer that answers callers with a stalled body kept each request and its body in memory until its time limit, also after the answer.

Change: the timer is cancelled when the body is complete or the caller has gone. Ruled out: a body timeout of tornado's connection, which closes without an answer. Found by reading; no test of its own.

--- a/egretmill/entry/handler.py
+++ b/egretmill/entry/handler.py
@@ -112,6 +112,7 @@
         self.received = 0
         self.complete = False
         self.upload: StreamedBody | None = None
+        self.late_body: asyncio.TimerHandle | None = None
         self.serving: asyncio.Task[Result[None, Refusal]] | None = None
 
     async def prepare(self) -> None:
@@ -127,7 +128,7 @@
         if not is_small(self.caller.body_size):
             self.upload = StreamedBody(self.caller.body_size)
             self.serve(self.caller, self.upload)
-        asyncio.get_running_loop().call_at(
+        self.late_body = asyncio.get_running_loop().call_at(
             self.caller.deadline_at + LATE_BODY_S,
             self.end_late_body,
         )
@@ -162,6 +163,11 @@
             outcome = Outcome.UNKNOWN
         self.refuse(Refusal(failure, outcome))
 
+    def stop_waiting(self) -> None:
+        """Drop the timer, which would keep the request in memory."""
+        if self.late_body is not None:
+            self.late_body.cancel()
+
     def end_late_body(self) -> None:
         """Answer a caller whose body has not arrived in its time."""
         if self.complete or self.caller is None or self.sink.detached:
@@ -193,6 +199,7 @@
         if self.caller is None:
             return
         self.complete = True
+        self.stop_waiting()
         self.sink.kept = self.is_kept()
         if self.upload is None:
             self.serve(self.caller, BufferedBody(bytes(self.chunks)))
@@ -213,6 +220,7 @@
         """
         super().on_connection_close()
         self.sink.detach()
+        self.stop_waiting()
         if self.serving is None or self.is_kept():
             return
         self.serving.cancel()
