Remove an unused rule of the quota policy

Cause: lenders no longer keep a reserve for the demand of the horizon, so nothing calls tokens_wanted.

--- a/egretmill/quota/policy.py
+++ b/egretmill/quota/policy.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 
 from egretmill.quota.division import Share
 
@@ -57,16 +56,6 @@
     idle_s: float = 1.0
     slots_ahead: float = 0.1
 
-    def tokens_wanted(self, rate: float, unmet: float) -> float:
-        """Return how many tokens cover the demand of the horizon.
-
-        Arrivals vary by about the square root of their number.
-        """
-        expected = rate * self.horizon_s
-        wanted = expected + math.sqrt(expected) + unmet
-        # A part of a token serves nobody.
-        return max(1.0, wanted) if wanted > SLIGHT else 0.0
-
     def tokens_low(self, rate: float, unmet: float) -> float:
         """Return below how many tokens peers are asked for more."""
         low = rate * self.low_s + unmet
