--- a/egretmill/wire/client.py
+++ b/egretmill/wire/client.py
@@ -41,10 +41,13 @@
         have been carried out.
         """
         try:
-            frame = await asyncio.wait_for(
-                self.exchange(messages.encode(message), timeout_s),
-                timeout_s,
-            )
+            # asyncio.wait_for of Python 3.11 loses a cancellation that
+            # arrives together with the answer.
+            async with asyncio.timeout(timeout_s):
+                frame = await self.exchange(
+                    messages.encode(message),
+                    timeout_s,
+                )
         except (pynng.NNGException, TimeoutError) as error:
             self.close()
             detail = f'{self.url}: {type(error).__name__}'
