Replace asyncio.wait_for where a lost cancellation does harm

Cause: in Python 3.11 asyncio.wait_for drops a cancellation that arrives together with the result; in the data path that left a call without a deadline. Change: calls between programs, to the platform and waits of the ledger use asyncio.timeout.

--- a/egretmill/entry/loans.py
+++ b/egretmill/entry/loans.py
@@ -41,7 +41,8 @@
     async def wait_for_demand(self) -> None:
         """Wait for a refused request or the end of the interval."""
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.state.short.wait(), WISH_INTERVAL_S)
+            async with asyncio.timeout(WISH_INTERVAL_S):
+                await self.state.short.wait()
         self.state.short.clear()
 
     def ask(self) -> None:
--- a/egretmill/ledger/recording.py
+++ b/egretmill/ledger/recording.py
@@ -130,7 +130,8 @@
         """Record once the other attempt that holds the key is settled."""
         limit_s = self.held.limits.acknowledge_s
         try:
-            await asyncio.wait_for(held.changed.wait(), limit_s)
+            async with asyncio.timeout(limit_s):
+                await held.changed.wait()
         except TimeoutError:
             return NOT_WRITTEN
         if key in self.held.by_key:
--- a/egretmill/ledger/service.py
+++ b/egretmill/ledger/service.py
@@ -216,7 +216,8 @@
             return False
         self.waiting += 1
         try:
-            await asyncio.wait_for(change, left_s)
+            async with asyncio.timeout(left_s):
+                await change
         except TimeoutError:
             return False
         finally:
--- a/egretmill/store/http.py
+++ b/egretmill/store/http.py
@@ -164,7 +164,8 @@
         )
         try:
             # The client's own limit starts after a wait for a connection.
-            response = await asyncio.wait_for(call, self.timeout_s)
+            async with asyncio.timeout(self.timeout_s):
+                response = await call
         except (HTTPError, OSError, ValueError) as error:
             return unavailable(f'{method} {path}: {error!r}')
         if response.code in codes:
