Never cancel an operation of pynng

Cause: pynng's asyncio adapter drops a cancellation that meets a finished operation. In a stress run of 12 cancelled poll loops 10 were not cancelled. Change: a call runs in a task of its own that ends by its own time limits; the caller waits for it without passing cancellation on. A server closes its socket before it cancels its tasks. Ruled out: asyncio.timeout around the operation, which uses the same cancellation.

--- a/egretmill/wire/client.py
+++ b/egretmill/wire/client.py
@@ -28,6 +28,7 @@
         """Remember the address; the first call connects."""
         self.url = f'tcp://{address}:{port}'
         self.socket: pynng.Req0 | None = None
+        self.exchanges: set[asyncio.Task[bytes]] = set()
 
     async def call(
         self,
@@ -40,19 +41,32 @@
         its kind. A missed deadline is ``peer_unreachable``: the message may
         have been carried out.
         """
-        try:
-            # asyncio.wait_for of Python 3.11 loses a cancellation that
-            # arrives together with the answer.
-            async with asyncio.timeout(timeout_s):
-                frame = await self.exchange(
-                    messages.encode(message),
-                    timeout_s,
-                )
-        except (pynng.NNGException, TimeoutError) as error:
+        # pynng loses a cancellation that meets a finished operation, so an
+        # exchange is never cancelled: it ends by its own time limits.
+        exchange = asyncio.create_task(
+            self.exchange(messages.encode(message), timeout_s),
+        )
+        self.exchanges.add(exchange)
+        exchange.add_done_callback(self.forget)
+        await asyncio.wait({exchange}, timeout=timeout_s)
+        if not exchange.done():
             self.close()
-            detail = f'{self.url}: {type(error).__name__}'
+            detail = f'{self.url}: no answer within {timeout_s:.3f} s'
             return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail))
-        return decode_reply(frame)
+        error = exchange.exception()
+        if error is None:
+            return decode_reply(exchange.result())
+        if not isinstance(error, pynng.NNGException):
+            raise error
+        self.close()
+        detail = f'{self.url}: {type(error).__name__}'
+        return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail))
+
+    def forget(self, exchange: asyncio.Task[bytes]) -> None:
+        """Drop an exchange that has ended; its failure was or is unused."""
+        self.exchanges.discard(exchange)
+        if not exchange.cancelled():
+            exchange.exception()
 
     async def exchange(self, frame: bytes, timeout_s: float) -> bytes:
         """Send one frame and wait for its answer."""
--- a/egretmill/wire/server.py
+++ b/egretmill/wire/server.py
@@ -102,7 +102,10 @@
         return messages.ErrorReply(ErrorKind.INTERNAL.value, repr(error))
 
     def close(self) -> None:
-        """Stop serving and free the port."""
+        """Free the port, which ends the waits for requests, then the rest.
+
+        A handler that is at work is cancelled.
+        """
+        self.socket.close()
         for task in self.tasks:
             task.cancel()
-        self.socket.close()
--- a/tests/wire/test_peer.py
+++ b/tests/wire/test_peer.py
@@ -60,3 +60,28 @@
     assert isinstance(await peer.call(messages.FetchDocument(1), 2), Ok)
     peer.close()
     server.close()
+
+
+async def test_cancelled_call_ends_its_task():
+    """Guards against a shutdown that waits for ever for a lost cancellation.
+
+    pynng drops a cancellation that meets a finished operation, after which
+    a poll loop went on although it had been cancelled.
+    """
+    port = free_port()
+    server = Server(ADDRESS, port, acknowledge, Metrics(None))
+    server.start()
+    peer = Peer(ADDRESS, port)
+
+    async def poll():
+        while True:
+            await peer.call(messages.FetchDocument(1), 0.5)
+
+    for turn in range(200):
+        polling = asyncio.create_task(poll())
+        await asyncio.sleep(turn % 20 * 0.0001)
+        polling.cancel()
+        await asyncio.wait({polling}, timeout=2)
+        assert polling.cancelled()
+    peer.close()
+    server.close()
