--- a/egretmill/entry/exchange.py
+++ b/egretmill/entry/exchange.py
@@ -12,7 +12,11 @@
 from egretmill.entry.limits import LinkMeter
 from egretmill.entry.refusal import Refusal
 from egretmill.entry.request import CallerRequest
-from egretmill.entry.sink import CallerSink, SheddingSink
+from egretmill.entry.sink import (
+    HTTP_UNAVAILABLE,
+    CallerSink,
+    SheddingSink,
+)
 from egretmill.entry.state import EntryState
 from egretmill.entry.upstream_call import CallEnd, UpstreamCall, UpstreamTarget
 from egretmill.errors import ErrorKind, Failure
@@ -242,6 +246,6 @@
         return OBSERVATIONS.get(end.kind, ObservationKind.CANCELLED)
     if end.draining:
         return ObservationKind.DRAINING
-    if end.status == 503:
+    if end.status == HTTP_UNAVAILABLE:
         return ObservationKind.SHED
     return ObservationKind.OK
--- a/egretmill/entry/sink.py
+++ b/egretmill/entry/sink.py
@@ -11,7 +11,7 @@
 from egretmill.errors import Failure, Outcome
 from egretmill.wire.messages import StoredAnswer
 
-__all__ = ('MAX_STORED_BYTES', 'CallerSink', 'SheddingSink')
+__all__ = ('HTTP_UNAVAILABLE', 'MAX_STORED_BYTES', 'CallerSink', 'SheddingSink')
 
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_MODIFIED = 304
