Say once what exchange and forwarding share; build the promoter whole

Cause: the connect limit, the remaining milliseconds and the release of a slot stood twice, a handler had an attribute that nothing read, and the agent set three attributes of its promoter after it was made. Change: CONNECT_LIMIT_S belongs to the upstream call, remaining_ms to the caller's request, finish uses give_back, and TrackedPromoter takes what it needs. Ruled out for now: one base for the states of agent and entry, whose constructors only look alike.

--- a/egretmill/agent/program.py
+++ b/egretmill/agent/program.py
@@ -53,13 +53,9 @@
         self.links = PeerLinks()
         self.promoter = TrackedPromoter(
             self.store,
-            settings.name,
-            self.state.now,
-            lambda: self.state.environment,
+            self.state,
+            self.may_promote,
         )
-        self.promoter.confirmation = self.state.confirmation
-        self.promoter.unknown_outcomes = 0
-        self.promoter.may_promote = self.may_promote
         self.configuration = ConfigurationWatch(
             self.state,
             self.promoter,
--- a/egretmill/agent/promotions.py
+++ b/egretmill/agent/promotions.py
@@ -4,13 +4,14 @@
 
 from result import Err, Result
 
+from egretmill.agent.state import AgentState
 from egretmill.document.promotion import (
     CurrentVersion,
+    PlatformStore,
     Promoted,
     Promoter,
 )
 from egretmill.errors import ErrorKind, Failure
-from egretmill.membership.confirmation import Confirmation
 
 __all__ = ('TrackedPromoter',)
 
@@ -23,9 +24,22 @@
     reason only holders of a share slot promote, whom all hosts know.
     """
 
-    confirmation: Confirmation
-    may_promote: Callable[[], bool]
-    unknown_outcomes: int
+    def __init__(
+        self,
+        store: PlatformStore,
+        state: AgentState,
+        may_promote: Callable[[], bool],
+    ) -> None:
+        """Promote with the platform and the state of an agent."""
+        super().__init__(
+            store,
+            state.settings.name,
+            state.now,
+            lambda: state.environment,
+        )
+        self.confirmation = state.confirmation
+        self.may_promote = may_promote
+        self.unknown_outcomes = 0
 
     async def promote(
         self,
--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -22,6 +22,7 @@
     'HISTORY_LENGTH',
     'MAX_DOCUMENT_BYTES',
     'CurrentVersion',
+    'PlatformStore',
     'Promoted',
     'Promoter',
 )
--- a/egretmill/entry/exchange.py
+++ b/egretmill/entry/exchange.py
@@ -18,18 +18,19 @@
     SheddingSink,
 )
 from egretmill.entry.state import EntryState
-from egretmill.entry.upstream_call import CallEnd, UpstreamCall, UpstreamTarget
+from egretmill.entry.upstream_call import (
+    CONNECT_LIMIT_S,
+    CallEnd,
+    UpstreamCall,
+    UpstreamTarget,
+)
 from egretmill.errors import ErrorKind, Failure
 from egretmill.logs import log_event
 from egretmill.routing.observations import Observation, ObservationKind
 
 __all__ = ('Exchange',)
 
-# A connect takes about 1 ms; a host that does not answer within this time
-# is treated as refusing, which is safe because nothing was sent.
-CONNECT_LIMIT_S = 0.5
 MAX_ATTEMPTS = 4
-MILLISECONDS = 1000
 # An idempotent request leaves this part of its time for another attempt.
 FIRST_ATTEMPT_SHARE = 0.5
 
@@ -159,13 +160,12 @@
 
     def upstream_headers(self, grant: Grant):
         """Return the headers of the attempt."""
-        remaining_s = self.caller.deadline_at - self.state.now()
         upstream = grant.upstream
         return header_names.upstream_headers(
             self.caller.headers,
             f'{upstream.address}:{upstream.port}',
             self.caller.request_id,
-            max(1, int(remaining_s * MILLISECONDS)),
+            self.caller.remaining_ms(self.state.now()),
             self.body.size,
         )
 
--- a/egretmill/entry/forwarding.py
+++ b/egretmill/entry/forwarding.py
@@ -11,16 +11,17 @@
 from egretmill.entry.request import CallerRequest
 from egretmill.entry.sink import CallerSink
 from egretmill.entry.state import EntryState
-from egretmill.entry.upstream_call import UpstreamCall, UpstreamTarget
+from egretmill.entry.upstream_call import (
+    CONNECT_LIMIT_S,
+    UpstreamCall,
+    UpstreamTarget,
+)
 from egretmill.errors import ErrorKind, Failure, Outcome
 from egretmill.ledger.tickets import Ticket
 from egretmill.wire.messages import PeerState
 
 __all__ = ('forward',)
 
-CONNECT_LIMIT_S = 0.5
-MILLISECONDS = 1000
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardingSink:
@@ -94,12 +95,11 @@
     home: PeerState,
 ) -> HTTPHeaders:
     """Return the headers for the other entry host, with the key."""
-    remaining_s = caller.deadline_at - state.now()
     sent = header_names.upstream_headers(
         caller.headers,
         f'{home.host.address}:{home.host.entry_port}',
         caller.request_id,
-        max(1, int(remaining_s * MILLISECONDS)),
+        caller.remaining_ms(state.now()),
         body.size,
     )
     sent[header_names.FORWARDED_BY] = state.settings.name
--- a/egretmill/entry/handler.py
+++ b/egretmill/entry/handler.py
@@ -35,7 +35,6 @@
         """Keep the shared service."""
         self.service = service
         self.sink = CallerSink(self, uuid.uuid4().hex)
-        self.request_method = ''
 
     def prepare(self) -> None:
         """Count the request as open; a shutdown waits for it."""
--- a/egretmill/entry/request.py
+++ b/egretmill/entry/request.py
@@ -39,6 +39,10 @@
         """Return the client account's name, also for open routes."""
         return self.account.name if self.account else OPEN_ACCOUNT
 
+    def remaining_ms(self, now: float) -> int:
+        """Return what is left of the deadline, at least 1 ms."""
+        return max(1, int((self.deadline_at - now) * MILLISECONDS))
+
 
 def parse_request(
     request: HTTPServerRequest,
--- a/egretmill/entry/state.py
+++ b/egretmill/entry/state.py
@@ -156,13 +156,12 @@
 
     def finish(self, grant: Grant, observation: Observation) -> None:
         """Give back what an attempt held and learn from its end."""
-        now = self.now()
-        self.table.finish(grant.upstream.name, observation, now)
-        self.holdings.release(grant.slots, 1, now)
+        self.table.finish(grant.upstream.name, observation, self.now())
+        self.give_back(grant)
         self.gate.notify()
 
     def give_back(self, grant: Grant) -> None:
-        """Take back a grant whose caller has gone before it was used."""
+        """Free the slot of a grant that has ended or was never used."""
         self.holdings.release(grant.slots, 1, self.now())
 
     def preferred_site(self, service: str) -> str:
--- a/egretmill/entry/upstream_call.py
+++ b/egretmill/entry/upstream_call.py
@@ -21,8 +21,17 @@
 
 from egretmill.errors import ErrorKind
 
-__all__ = ('AnswerSink', 'CallEnd', 'UpstreamCall', 'UpstreamTarget')
+__all__ = (
+    'CONNECT_LIMIT_S',
+    'AnswerSink',
+    'CallEnd',
+    'UpstreamCall',
+    'UpstreamTarget',
+)
 
+# A connect takes about 1 ms; a host that does not answer within this time
+# is treated as refusing, which is safe because nothing was sent.
+CONNECT_LIMIT_S = 0.5
 MAX_ANSWER_HEADER_BYTES = 65536
 STREAM_BUFFER_BYTES = 1048576
 UNLIMITED_BYTES = 1 << 50
