Add the host program and its adapter to the users' platform

One process a machine carries entry, directory, readiness and fleet state. The adapter in platform/ decodes settings, store rows and headers once; the product keeps placement, shares, retries and recovery.

--- a/bench/quota_matrix.py
+++ b/bench/quota_matrix.py
@@ -12,7 +12,7 @@
 
 from bench.quota_fleet import DOMAINS, Fleet, Host, document, upstreams
 from egretmill.quota import Holdings, Policy, Taken
-from egretmill.quota.division import NOTHING, Share
+from egretmill.shares.bucket import NOTHING, Share
 from egretmill.wire.messages import ShareSlot
 
 __all__ = ('FAULTS', 'STEPS', 'Cell', 'Scene', 'play')
--- a/egretmill/entry/exchange.py
+++ b/egretmill/entry/exchange.py
@@ -26,7 +26,7 @@
 )
 from egretmill.errors import ErrorKind, Failure
 from egretmill.logs import log_event
-from egretmill.routing.observations import Observation, ObservationKind
+from egretmill.placement.observations import Observation, ObservationKind
 
 __all__ = ('Exchange',)
 
--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -55,6 +55,18 @@
         logging.INFO,
         'The local agent answers again.',
     )
+    READY = Event(
+        106,
+        'ready',
+        logging.INFO,
+        'The host is ready for callers; says after how long.',
+    )
+    SETTINGS_RELOADED = Event(
+        107,
+        'settings_reloaded',
+        logging.INFO,
+        'The settings file was read again; says what has changed.',
+    )
     CONFIGURATION_APPLIED = Event(
         201,
         'configuration_applied',
@@ -97,6 +109,36 @@
         logging.WARNING,
         'A promotion may have taken effect; the platform did not tell.',
     )
+    EVACUATIONS_CHANGED = Event(
+        208,
+        'evacuations_changed',
+        logging.INFO,
+        'The evacuated failure domains have changed.',
+    )
+    UPSTREAM_CHANGED = Event(
+        209,
+        'upstream_changed',
+        logging.INFO,
+        'An upstream has come, left, restarted or changed its state.',
+    )
+    ROW_MALFORMED = Event(
+        210,
+        'row_malformed',
+        logging.WARNING,
+        'A row of the store could not be used.',
+    )
+    HISTORY_GONE = Event(
+        211,
+        'history_gone',
+        logging.INFO,
+        'The store has dropped changes; the whole table is read.',
+    )
+    STALE_READ = Event(
+        212,
+        'stale_read',
+        logging.WARNING,
+        'The store answered with an older state than before.',
+    )
     REQUEST_ROUTED = Event(
         301,
         'request_routed',
@@ -127,6 +169,18 @@
         logging.INFO,
         'An attempt failed and another upstream is tried.',
     )
+    REQUEST_UNREADABLE = Event(
+        306,
+        'request_unreadable',
+        logging.INFO,
+        'Bytes of a caller were no acceptable request.',
+    )
+    CALLER_GONE = Event(
+        307,
+        'caller_gone',
+        logging.INFO,
+        'The caller left before its answer; the call was cancelled.',
+    )
     SHARE_SLOT_ACQUIRED = Event(
         401,
         'share_slot_acquired',
@@ -193,6 +247,30 @@
         logging.INFO,
         'A peer answers with a higher incarnation.',
     )
+    PEER_UNREACHABLE = Event(
+        604,
+        'peer_unreachable',
+        logging.DEBUG,
+        'A datagram to a peer was rejected by the network.',
+    )
+    ROSTER_CHANGED = Event(
+        605,
+        'roster_changed',
+        logging.INFO,
+        'Hosts were added to or removed from the roster.',
+    )
+    ROSTER_JOINED = Event(
+        606,
+        'roster_joined',
+        logging.INFO,
+        'The own entry is in the roster; says whether it is new.',
+    )
+    ROSTER_REMOVED = Event(
+        607,
+        'roster_removed',
+        logging.INFO,
+        'The entry of a host that has gone was removed.',
+    )
     LOOKUP_ANSWERED = Event(
         701,
         'lookup_answered',
--- /dev/null
+++ b/egretmill/fleet/__init__.py
@@ -0,0 +1,30 @@
+"""What a host knows of the fleet: configuration, upstreams, other hosts."""
+
+from egretmill.fleet.configuration import (
+    ClientAccount,
+    Destination,
+    FleetConfiguration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+)
+from egretmill.fleet.freshness import Proof, boot_time
+from egretmill.fleet.knowledge import Knowledge
+from egretmill.fleet.upstreams import Upstream, UpstreamList, UpstreamState
+
+__all__ = (
+    'ClientAccount',
+    'Destination',
+    'FleetConfiguration',
+    'Knowledge',
+    'Proof',
+    'RequestLimits',
+    'Route',
+    'RouteKind',
+    'Service',
+    'Upstream',
+    'UpstreamList',
+    'UpstreamState',
+    'boot_time',
+)
--- /dev/null
+++ b/egretmill/fleet/configuration.py
@@ -0,0 +1,143 @@
+"""The configuration in force: routes, client accounts and services."""
+
+import dataclasses
+import enum
+from collections.abc import Mapping
+
+__all__ = (
+    'ClientAccount',
+    'Destination',
+    'FleetConfiguration',
+    'RequestLimits',
+    'Route',
+    'RouteKind',
+    'Service',
+)
+
+
+class RouteKind(enum.StrEnum):
+    """What may be repeated."""
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+    #: Large bodies; runs at most once as well.
+    UPLOAD = 'upload'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """A service that gets a part of a route's requests.
+
+    :param weight: part relative to the route's other destinations.
+    """
+
+    service: str
+    weight: float = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Requests under a path prefix of one authority.
+
+    :param prefix: begins and ends with a slash.
+    :param target_latency_s: a response within it is worth most.
+    :param timeout_s: longest time without a final answer.
+    :param max_attempts: upstreams that one request may be sent to.
+    :param priority: 0 is the most urgent.
+    :param public: needs no key.
+    :param home_regions: regions that may serve it; empty allows all.
+    """
+
+    name: str
+    authority: str
+    prefix: str
+    kind: RouteKind
+    destinations: tuple[Destination, ...]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    sticky: bool = False
+    home_regions: frozenset[str] = frozenset()
+
+    @property
+    def idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account with its limit over the whole fleet.
+
+    :param rate_per_s: requests per second, 0 for no limit.
+    :param burst: requests beyond the rate.
+    :param priority: goes before the route's, ``None`` when not set.
+    :param home_regions: regions that may serve it; empty allows all.
+    """
+
+    name: str
+    rate_per_s: float = 0
+    burst: float = 0
+    priority: int | None = None
+    home_regions: frozenset[str] = frozenset()
+
+    @property
+    def limited(self) -> bool:
+        """Tell whether the account has a rate."""
+        return self.rate_per_s > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service and what its upstreams bear.
+
+    :param cold_start_s: an upstream is cold for this time after a start.
+    :param cold_per_s: requests per second that a cold upstream bears.
+    """
+
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What callers may send; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 67108864
+    header_s: float = 3
+    idle_s: float = 15
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetConfiguration:
+    """One version of the configuration; versions only increase.
+
+    :param routes: by authority, the longest prefix first.
+    :param account_by_key: client accounts by API key.
+    :param keyed: requests need a key, unless their route is public.
+    """
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    account_by_key: Mapping[str, ClientAccount]
+    services: Mapping[str, Service]
+    limits: RequestLimits = RequestLimits()
+    keyed: bool = True
+
+    def match(self, authority: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        for route in self.routes.get(authority, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def accounts(self) -> Mapping[str, ClientAccount]:
+        """Return the client accounts by name."""
+        return {
+            account.name: account for account in self.account_by_key.values()
+        }
--- /dev/null
+++ b/egretmill/host/answers.py
@@ -0,0 +1,69 @@
+"""Own answers of the host: one place decides what they state."""
+
+import dataclasses
+
+import msgspec
+
+from egretmill.errors import ErrorKind, Failure, Outcome
+from egretmill.host.dialect import Dialect
+from egretmill.http1 import Response
+
+__all__ = ('Refusal', 'refusal_response')
+
+OUTCOME_HEADER = b'X-Egretmill-Outcome'
+#: Bounds of Retry-After, in seconds.
+LEAST_RETRY_S = 0.05
+LONGEST_RETRY_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that this host ends itself.
+
+    :param outcome: what is known of its execution.
+    :param retry_after_s: when another attempt may be served, in seconds.
+    """
+
+    kind: ErrorKind
+    outcome: Outcome
+    detail: str = ''
+    retry_after_s: float | None = None
+
+    @classmethod
+    def not_run(
+        cls,
+        failure: Failure,
+        retry_after_s: float | None = None,
+    ) -> 'Refusal':
+        """Refuse a request that no upstream has run or will run."""
+        return cls(
+            failure.kind,
+            Outcome.NOT_RUN,
+            failure.detail,
+            retry_after_s or failure.answer.retry_after_s,
+        )
+
+    @classmethod
+    def unknown(cls, failure: Failure) -> 'Refusal':
+        """End a request that an upstream may have run."""
+        return cls(failure.kind, Outcome.UNKNOWN, failure.detail)
+
+    @classmethod
+    def internal(cls, error: Exception) -> 'Refusal':
+        """End a request after an unexpected exception."""
+        return cls(ErrorKind.INTERNAL, Outcome.UNKNOWN, repr(error))
+
+
+def refusal_response(refusal: Refusal, dialect: Dialect) -> Response:
+    """Return the answer to a request that this host ends itself."""
+    response = Response(dialect.status(refusal.kind))
+    response.add(b'Content-Type', b'application/json')
+    response.add(OUTCOME_HEADER, refusal.outcome.value.encode())
+    if refusal.retry_after_s is not None:
+        at_least_s = max(refusal.retry_after_s, LEAST_RETRY_S)
+        bounded_s = min(at_least_s, LONGEST_RETRY_S)
+        response.add(b'Retry-After', f'{bounded_s:.3f}'.encode())
+    response.body = msgspec.json.encode(
+        {'error': refusal.kind.value, 'detail': refusal.detail},
+    )
+    return response
--- /dev/null
+++ b/egretmill/host/exchange.py
@@ -0,0 +1,310 @@
+"""One request of a caller through one or more attempts at upstreams."""
+
+import asyncio
+import dataclasses
+from collections.abc import Iterator
+
+from result import Err, Ok, Result
+
+from egretmill import events
+from egretmill.errors import ErrorKind, Failure
+from egretmill.fleet.configuration import RouteKind
+from egretmill.host import headers
+from egretmill.host.answers import Refusal
+from egretmill.host.intake import Accepted
+from egretmill.host.state import HostState
+from egretmill.host.verdict import Verdict, judge
+from egretmill.http1 import (
+    Call,
+    CallFailure,
+    ClientConnection,
+    PendingAnswer,
+    Response,
+)
+from egretmill.logs import log_event
+from egretmill.placement import Crowded, Placed, Placement, Unplaced, WorkTimes
+from egretmill.shares.accounts import Limited
+
+__all__ = ('Exchange',)
+
+#: Longest time for a new connection, without the way between regions.
+CONNECT_LIMIT_S = 0.3
+#: A request that must not be repeated uses a kept connection only this soon
+#: after its last response: nobody can tell what became of a request on a
+#: connection that has gone silent.
+ONCE_IDLE_S = 0.5
+#: An idempotent request waits this multiple of the expected time for the
+#: response before it is sent to another upstream ...
+IMPATIENCE = 3.0
+#: ... and this long at least, in seconds.
+LEAST_ATTEMPT_S = 0.25
+#: Least time that an attempt needs to make sense.
+LEAST_LEFT_S = 0.01
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """Runs attempts until one gives the caller an answer.
+
+    :param maybe_run: an upstream may have run the request.
+    :param sending: the request is at an upstream now.
+    :param tried: upstreams that got the request.
+    """
+
+    state: HostState
+    pending: PendingAnswer
+    accepted: Accepted
+    maybe_run: bool = False
+    sending: bool = False
+    attempts: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    failed_response: Response | None = None
+
+    async def run(self) -> Result[Response, Refusal]:
+        """Serve the request."""
+        try:
+            async with asyncio.timeout_at(self.accepted.deadline_at):
+                return await self._run()
+        except TimeoutError:
+            return Err(self._timed_out())
+
+    @property
+    def left_s(self) -> float:
+        """Return the time until the final answer is due."""
+        return self.accepted.deadline_at - self.state.now()
+
+    @property
+    def times(self) -> WorkTimes:
+        """Return the work times of the route."""
+        route = self.accepted.route
+        return self.state.times_for(route.name, route.target_latency_s)
+
+    async def _run(self) -> Result[Response, Refusal]:
+        if self.pending.head.has_body:
+            await self.pending.body.wait_settled()
+        refused = await self._take_token()
+        if refused is not None:
+            return Err(refused)
+        served = await self._serve()
+        account = self.accepted.account
+        if account is not None and not self.attempts:
+            self.state.accounts.give_back(account, self.state.now())
+        return served
+
+    async def _take_token(self) -> Refusal | None:
+        """Take the request from the rate of its account."""
+        account = self.accepted.account
+        if account is None:
+            return None
+        state = self.state
+        if account.limited and not state.share.fraction(state.now()):
+            failure = Failure(ErrorKind.NOT_READY, 'no share of the rates yet')
+            return Refusal.not_run(failure)
+        patience_s = self.left_s - self.times.warm_s
+        admitted = state.accounts.admit(account, state.now(), patience_s)
+        if isinstance(admitted, Limited):
+            failure = Failure(ErrorKind.RATE_LIMITED, account.name)
+            return Refusal.not_run(failure, admitted.retry_after_s)
+        if admitted.wait_s:
+            await asyncio.sleep(admitted.wait_s)
+        return None
+
+    async def _serve(self) -> Result[Response, Refusal]:
+        self.state.budget.record(self.accepted.service, self.state.now())
+        while True:
+            placed = self._place()
+            if isinstance(placed, Err):
+                return self._give_up(placed.err_value)
+            ended = await self._attempt(placed.ok_value)
+            if isinstance(ended, Ok):
+                return ended
+            if not self._may_retry(ended.err_value):
+                return self._give_up(ended.err_value)
+
+    def _place(self) -> Result[Placed, Refusal]:
+        accepted = self.accepted
+        region = self.state.settings.region
+        first = region if accepted.route.kind is RouteKind.UPLOAD else ''
+        order = self.state.pool.order(
+            accepted.service,
+            accepted.object_key,
+            accepted.home_regions,
+            first,
+        )
+        placement = Placement(
+            accepted.object_key,
+            region,
+            self.times,
+            self.left_s,
+            accepted.route.idempotent,
+            self.state.now(),
+        )
+        untried = [row for row in order if row.record.name not in self.tried]
+        match placement.choose(untried):
+            case Placed() as placed:
+                self._log_placed(placed)
+                return Ok(placed)
+            case Crowded(wait_s):
+                failure = Failure(ErrorKind.OVERLOADED, accepted.service)
+                return Err(Refusal.not_run(failure, wait_s))
+            case Unplaced(detail):
+                failure = Failure(ErrorKind.NO_UPSTREAM, detail)
+                return Err(Refusal.not_run(failure))
+
+    async def _attempt(self, placed: Placed) -> Result[Response, Refusal]:
+        """Send the request to an upstream and learn from the end."""
+        state = self.state
+        load = placed.load
+        started_at = state.now()
+        load.begin(started_at)
+        verdict = Verdict.cancelled()
+        try:
+            ended = await self._call(placed)
+            verdict = judge(ended, state.dialect, self.accepted.route)
+        finally:
+            now = state.now()
+            load.finish(verdict.observation, now)
+            state.metrics.attempts.labels(
+                self.accepted.service,
+                verdict.end,
+            ).inc()
+        if verdict.report is not None:
+            load.take_report(verdict.report, now)
+        if verdict.ran:
+            self._learn(placed, now - started_at)
+        self.maybe_run = self.maybe_run or verdict.maybe_run
+        if verdict.response is not None:
+            return Ok(verdict.response)
+        self.failed_response = verdict.failed_response
+        return Err(verdict.refusal or self._timed_out())
+
+    def _learn(self, placed: Placed, took_s: float) -> None:
+        work_s = max(took_s, LEAST_LEFT_S)
+        if placed.free:
+            self.times.add(work_s, warm=placed.warm)
+        placed.load.handled(
+            self.accepted.object_key,
+            took_s,
+            placed.expected_s,
+            self.state.now(),
+        )
+
+    async def _call(self, placed: Placed) -> Result[Response, CallFailure]:
+        idempotent = self.accepted.route.idempotent
+        record = placed.load.record
+        acquired = await self.state.pool.acquire(
+            placed.load,
+            self.state.now(),
+            min(CONNECT_LIMIT_S, max(self.left_s, 0)),
+            self.left_s if idempotent else ONCE_IDLE_S,
+        )
+        if isinstance(acquired, Err):
+            return acquired
+        connection: ClientConnection = acquired.ok_value
+        self.attempts += 1
+        self.tried.add(record.name)
+        now = self.state.now()
+        head = self.pending.head
+        call = Call(
+            head.method,
+            head.target,
+            list(self._headers(record.name, now)),
+            self.pending.body,
+            self._attempt_ends_at(placed, now),
+            (self.state.dialect.request_id, self.accepted.request_id),
+            head.fields.get(b'content-length'),
+        )
+        self.sending = True
+        ended = await connection.send(call)
+        self.sending = False
+        self.state.pool.release(placed.load, connection)
+        return ended
+
+    def _headers(
+        self,
+        upstream: str,
+        now: float,
+    ) -> Iterator[tuple[bytes, bytes]]:
+        left_ms = max(int((self.accepted.deadline_at - now) * 1000), 1)
+        return headers.for_upstream(
+            self.pending.head,
+            self.state.dialect,
+            headers.Added(upstream, self.accepted.account_name, left_ms),
+        )
+
+    def _attempt_ends_at(self, placed: Placed, now: float) -> float:
+        deadline_at = self.accepted.deadline_at
+        route = self.accepted.route
+        if not route.idempotent or self.attempts >= route.max_attempts:
+            return deadline_at
+        patience_s = max(placed.expected_s * IMPATIENCE, LEAST_ATTEMPT_S)
+        impatient_at = now + patience_s
+        if impatient_at + self.times.cold_s > deadline_at:
+            return deadline_at
+        return impatient_at
+
+    def _may_retry(self, refusal: Refusal) -> bool:
+        """Decide on another attempt after a failed one."""
+        route = self.accepted.route
+        if self.maybe_run and not route.idempotent:
+            return False
+        if not self.pending.body.replayable and self.attempts:
+            return False
+        if self.left_s < self.times.warm_s or self.pending.gone:
+            return False
+        if not self.attempts:
+            # Nothing was sent: a failed connection is no arrival.
+            return True
+        if self.attempts >= route.max_attempts:
+            return False
+        service = self.accepted.service
+        allowed = self.state.budget.allows(service, self.state.now())
+        self.state.metrics.retries.labels(service, str(allowed)).inc()
+        log_event(
+            events.CATALOGUE.REQUEST_RETRIED,
+            request_id=self.accepted.request_id.decode('latin-1'),
+            kind=refusal.kind.value,
+            detail=refusal.detail,
+            attempt=self.attempts,
+            allowed=allowed,
+            left_ms=int(self.left_s * 1000),
+        )
+        return allowed
+
+    def _give_up(self, refusal: Refusal) -> Result[Response, Refusal]:
+        if self.failed_response is not None:
+            return Ok(self.failed_response)
+        if not self.maybe_run:
+            return Err(refusal)
+        kind = refusal.kind
+        if kind not in {ErrorKind.UPSTREAM_FAILED, ErrorKind.UPSTREAM_TIMEOUT}:
+            kind = ErrorKind.UPSTREAM_FAILED
+        return Err(Refusal.unknown(Failure(kind, refusal.detail)))
+
+    def _timed_out(self) -> Refusal:
+        if self.maybe_run or self.sending:
+            failure = Failure(ErrorKind.UPSTREAM_TIMEOUT, 'deadline is past')
+            return Refusal.unknown(failure)
+        failure = Failure(ErrorKind.QUEUE_TIMEOUT, 'deadline before sending')
+        return Refusal.not_run(failure)
+
+    def _log_placed(self, placed: Placed) -> None:
+        load = placed.load
+        now = self.state.now()
+        log_event(
+            events.CATALOGUE.REQUEST_ROUTED,
+            request_id=self.accepted.request_id.decode('latin-1'),
+            account=self.accepted.account_name,
+            service=self.accepted.service,
+            upstream=load.record.name,
+            domain=load.record.failure_domain,
+            attempt=self.attempts + 1,
+            version=self.accepted.version,
+            knowledge_age_s=round(self.state.knowledge.keyed_age(), 3),
+            load=round(load.load(now), 1),
+            report_age_s=round(min(now - load.reported_at, 999), 3),
+            slots=load.record.slots,
+            warm=placed.warm,
+            expected_ms=int(placed.expected_s * 1000),
+            left_ms=int(self.left_s * 1000),
+        )
--- /dev/null
+++ b/egretmill/host/handler.py
@@ -0,0 +1,161 @@
+"""Serves the requests of callers on the entry address."""
+
+import asyncio
+import random
+
+from result import Err
+
+from egretmill import events
+from egretmill.host.answers import Refusal, refusal_response
+from egretmill.host.exchange import Exchange
+from egretmill.host.intake import Accepted, accept
+from egretmill.host.state import HostState
+from egretmill.http1 import (
+    ConnectionLimits,
+    PendingAnswer,
+    Response,
+    ServerConnection,
+)
+from egretmill.logs import log_event
+
+__all__ = ('EntryHandler',)
+
+
+class EntryHandler:
+    """Starts an exchange for each request that is accepted."""
+
+    def __init__(self, state: HostState) -> None:
+        """Serve with the state of the host."""
+        self.state = state
+        self.rng = random.Random()  # noqa: S311
+        self.connections: set[ServerConnection] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Return the limits in force."""
+        return self.state.limits
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether connections close after their answers."""
+        return self.state.leaving
+
+    def opened(self, connection: ServerConnection) -> None:
+        """Note a new connection."""
+        self.connections.add(connection)
+
+    def closed(self, connection: ServerConnection) -> None:
+        """Note the end of a connection."""
+        self.connections.discard(connection)
+
+    def rejected(self, status: int, reason: str) -> None:
+        """Log a request that could not be read."""
+        self.state.metrics.refusals.labels('unreadable', 'not-run').inc()
+        log_event(
+            events.CATALOGUE.REQUEST_UNREADABLE,
+            status=status,
+            reason=reason,
+        )
+
+    def begin(self, pending: PendingAnswer) -> None:
+        """Check a request and start its exchange."""
+        accepted = accept(pending.head, self.state, self.rng)
+        if isinstance(accepted, Err):
+            self.refuse(pending, accepted.err_value)
+            return
+        work = self.serve(pending, accepted.ok_value)
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        pending.on_gone = task.cancel
+
+    async def serve(self, pending: PendingAnswer, accepted: Accepted) -> None:
+        """Run the exchange and answer."""
+        exchange = Exchange(self.state, pending, accepted)
+        try:
+            served = await exchange.run()
+        except asyncio.CancelledError:
+            log_event(
+                events.CATALOGUE.CALLER_GONE,
+                request_id=accepted.request_id.decode('latin-1'),
+                attempts=exchange.attempts,
+                maybe_run=exchange.maybe_run or exchange.sending,
+            )
+            raise
+        except Exception as error:  # noqa: BLE001
+            self.fail(pending, accepted, exchange, error)
+            return
+        if isinstance(served, Err):
+            self.refuse(pending, served.err_value, accepted, exchange)
+            return
+        self.answer(pending, accepted, exchange, served.ok_value)
+
+    def answer(
+        self,
+        pending: PendingAnswer,
+        accepted: Accepted,
+        exchange: Exchange,
+        response: Response,
+    ) -> None:
+        """Send an upstream's response."""
+        took_s = self.state.now() - pending.head.received_at
+        route = accepted.route.name
+        metrics = self.state.metrics
+        metrics.answers.labels(route, str(response.status)).inc()
+        metrics.latency.labels(route).observe(took_s)
+        log_event(
+            events.CATALOGUE.REQUEST_ANSWERED,
+            request_id=accepted.request_id.decode('latin-1'),
+            account=accepted.account_name,
+            route=route,
+            status=response.status,
+            attempts=exchange.attempts,
+            took_ms=int(took_s * 1000),
+        )
+        pending.answer(response)
+
+    def refuse(
+        self,
+        pending: PendingAnswer,
+        refusal: Refusal,
+        accepted: Accepted | None = None,
+        exchange: Exchange | None = None,
+    ) -> None:
+        """Send an own answer."""
+        kind = refusal.kind.value
+        outcome = refusal.outcome.value
+        self.state.metrics.refusals.labels(kind, outcome).inc()
+        fields = pending.head.fields
+        identifier = fields.get(self.state.dialect.request_id, b'')
+        took_s = self.state.now() - pending.head.received_at
+        log_event(
+            events.CATALOGUE.REQUEST_REFUSED,
+            request_id=identifier.decode('latin-1'),
+            kind=kind,
+            outcome=outcome,
+            detail=refusal.detail,
+            retry_after_s=refusal.retry_after_s,
+            account=accepted.account_name if accepted else '',
+            route=accepted.route.name if accepted else '',
+            attempts=exchange.attempts if exchange else 0,
+            version=self.state.knowledge.version,
+            knowledge_age_s=round(self.state.knowledge.keyed_age(), 3),
+            took_ms=int(took_s * 1000),
+        )
+        pending.answer(refusal_response(refusal, self.state.dialect))
+
+    def fail(
+        self,
+        pending: PendingAnswer,
+        accepted: Accepted,
+        exchange: Exchange,
+        error: Exception,
+    ) -> None:
+        """Answer after an unexpected exception."""
+        log_event(
+            events.CATALOGUE.HANDLER_FAILED,
+            request_id=accepted.request_id.decode('latin-1'),
+            error=repr(error),
+        )
+        self.refuse(pending, Refusal.internal(error), accepted, exchange)
--- /dev/null
+++ b/egretmill/host/intake.py
@@ -0,0 +1,180 @@
+"""Checks of a request's head: route, key, deadline. No I/O."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from egretmill.errors import ErrorKind, Failure
+from egretmill.fleet.configuration import (
+    ClientAccount,
+    Destination,
+    FleetConfiguration,
+    Route,
+)
+from egretmill.host.answers import Refusal
+from egretmill.host.dialect import Dialect
+from egretmill.host.state import HostState
+from egretmill.http1 import RequestHead
+
+__all__ = ('Accepted', 'accept')
+
+BEARER = b'bearer '
+#: Time before the last moment for a withdrawn key, for a request on its way
+#: to the upstream, in seconds.
+REVOKE_MARGIN_S = 0.3
+#: Wait that is told to callers of a host that cannot judge their request.
+OUTDATED_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """A request that may be sent to an upstream.
+
+    :param deadline_at: boot time at which the caller gets a final answer.
+    :param home_regions: regions that may run it; empty allows all.
+    """
+
+    request_id: bytes
+    route: Route
+    service: str
+    account: ClientAccount | None
+    object_key: str
+    deadline_at: float
+    home_regions: frozenset[str]
+    version: int
+
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request, 0 for the most urgent."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def account_name(self) -> str:
+        """Return the client account, empty on a public route."""
+        return self.account.name if self.account else ''
+
+
+def accept(
+    head: RequestHead,
+    state: HostState,
+    rng: random.Random,
+) -> Result[Accepted, Refusal]:
+    """Check a head against the configuration in force."""
+    configuration = state.configuration
+    if configuration is None:
+        return _refuse(ErrorKind.NOT_READY, 'no configuration is known')
+    authority = head.fields.get(b'host', b'').decode('latin-1').lower()
+    target = head.target.decode('latin-1')
+    path = target.partition('?')[0]
+    route = configuration.match(authority, path)
+    if route is None:
+        return _unknown(state, ErrorKind.UNKNOWN_ROUTE, path)
+    account = _account(head, configuration, route, state)
+    if isinstance(account, Err):
+        return account
+    homes = _homes(route, account.ok_value)
+    if homes is None:
+        detail = 'route and client account have no home region in common'
+        return _refuse(ErrorKind.NO_UPSTREAM, detail)
+    return Ok(
+        Accepted(
+            head.fields.get(state.dialect.request_id, b''),
+            route,
+            _pick(route.destinations, rng),
+            account.ok_value,
+            _object_key(head, state.dialect, rng),
+            head.received_at + _time_limit_s(head, route, state.dialect),
+            homes,
+            configuration.version,
+        ),
+    )
+
+
+def _account(
+    head: RequestHead,
+    configuration: FleetConfiguration,
+    route: Route,
+    state: HostState,
+) -> Result[ClientAccount | None, Refusal]:
+    if route.public or not configuration.keyed:
+        return Ok(None)
+    bounds = state.settings.bounds
+    age_s = state.knowledge.keyed_age()
+    if bounds.fail_closed and age_s > bounds.revoke_s - REVOKE_MARGIN_S:
+        detail = f'keys were last confirmed {age_s:.1f} s ago'
+        return _refuse(ErrorKind.UNCONFIRMED, detail, OUTDATED_RETRY_S)
+    header = head.fields.get(b'authorization', b'')
+    if header[: len(BEARER)].lower() != BEARER:
+        return _refuse(ErrorKind.MISSING_KEY, 'no bearer key')
+    key = header[len(BEARER) :].strip().decode('latin-1')
+    account = configuration.account_by_key.get(key)
+    if account is None:
+        return _unknown(state, ErrorKind.UNKNOWN_KEY, 'key is not known')
+    return Ok(account)
+
+
+def _unknown(
+    state: HostState,
+    kind: ErrorKind,
+    detail: str,
+) -> Result[object, Refusal]:
+    """Refuse what the configuration does not hold.
+
+    A host that may have missed a newer version cannot tell.
+    """
+    age_s = state.knowledge.keyed_age()
+    if age_s > state.settings.bounds.apply_s:
+        detail = f'configuration was last confirmed {age_s:.1f} s ago'
+        return _refuse(ErrorKind.UNCONFIRMED, detail, OUTDATED_RETRY_S)
+    return _refuse(kind, detail)
+
+
+def _refuse(
+    kind: ErrorKind,
+    detail: str,
+    retry_after_s: float | None = None,
+) -> Err[Refusal]:
+    return Err(Refusal.not_run(Failure(kind, detail), retry_after_s))
+
+
+def _homes(
+    route: Route,
+    account: ClientAccount | None,
+) -> frozenset[str] | None:
+    """Return the regions that both allow, ``None`` when there is none."""
+    of_account = account.home_regions if account else frozenset()
+    if not route.home_regions or not of_account:
+        return route.home_regions or of_account
+    return (route.home_regions & of_account) or None
+
+
+def _pick(destinations: Sequence[Destination], rng: random.Random) -> str:
+    if len(destinations) == 1:
+        return destinations[0].service
+    weights = [row.weight for row in destinations]
+    return rng.choices(destinations, weights)[0].service
+
+
+def _object_key(
+    head: RequestHead,
+    dialect: Dialect,
+    rng: random.Random,
+) -> str:
+    """Return the object that a request concerns, or a random one."""
+    cookies = head.fields.get(b'cookie', b'')
+    for cookie in cookies.split(b';'):
+        name, _, text = cookie.strip().partition(b'=')
+        if name.lower() == dialect.affinity_cookie and text:
+            return text.decode('latin-1')
+    return f'~{rng.randrange(64)}'  # noqa: S311
+
+
+def _time_limit_s(head: RequestHead, route: Route, dialect: Dialect) -> float:
+    stated = head.fields.get(dialect.deadline_ms, b'')
+    if not stated.isdigit():
+        return route.timeout_s
+    return min(int(stated) / 1000, route.timeout_s)
--- /dev/null
+++ b/egretmill/host/metrics.py
@@ -0,0 +1,102 @@
+"""Counters and latency histograms, served as text."""
+
+import prometheus_client as prometheus
+
+__all__ = ('HostMetrics',)
+
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.4,
+    0.6,
+    0.8,
+    1.2,
+    2.5,
+    5.0,
+)
+
+
+class HostMetrics:
+    """Metrics of one host process; docs/metrics.md lists them."""
+
+    def __init__(self) -> None:
+        """Register all metrics in a registry of their own."""
+        self.registry = prometheus.CollectorRegistry()
+        self.answers = self._counter(
+            'answers',
+            'Answers to callers.',
+            ('route', 'status'),
+        )
+        self.refusals = self._counter(
+            'refusals',
+            'Requests that this host answered itself.',
+            ('kind', 'outcome'),
+        )
+        self.attempts = self._counter(
+            'attempts',
+            'Requests sent to upstreams, by how they ended.',
+            ('service', 'end'),
+        )
+        self.retries = self._counter(
+            'retries',
+            'Further attempts; denied ones had no budget.',
+            ('service', 'allowed'),
+        )
+        self.store_calls = self._counter(
+            'store_calls',
+            'Calls to the store of the platform.',
+            ('call', 'end'),
+        )
+        self.malformed = self._counter(
+            'malformed_rows',
+            'Rows of the store that could not be used.',
+            ('table',),
+        )
+        self.log_lines_suppressed = self._counter(
+            'log_lines_suppressed',
+            'Log lines over the bound of the volume.',
+            (),
+        )
+        self.latency = prometheus.Histogram(
+            'egretmill_request_seconds',
+            'Time from the head of a request to its answer.',
+            ('route',),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.peers = self._gauge('peers_alive', 'Other hosts heard lately.')
+        self.version = self._gauge('configuration_version', 'In force here.')
+        self.knowledge_age = self._gauge(
+            'configuration_age_seconds',
+            'Age of the proof that the configuration is current.',
+        )
+        self.share = self._gauge('share', 'Owned part of fleet-wide limits.')
+
+    def text(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus.generate_latest(self.registry)
+
+    def _counter(
+        self,
+        name: str,
+        text: str,
+        labels: tuple[str, ...],
+    ) -> prometheus.Counter:
+        return prometheus.Counter(
+            f'egretmill_{name}',
+            text,
+            labels,
+            registry=self.registry,
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus.Gauge:
+        return prometheus.Gauge(
+            f'egretmill_{name}',
+            text,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/egretmill/host/state.py
@@ -0,0 +1,145 @@
+"""What one host knows and holds; changed on one loop only."""
+
+import dataclasses
+from collections.abc import Callable
+
+import xxhash
+
+from egretmill.fleet.configuration import FleetConfiguration
+from egretmill.fleet.freshness import boot_time
+from egretmill.fleet.knowledge import Knowledge
+from egretmill.fleet.upstreams import Upstream
+from egretmill.host.dialect import Dialect
+from egretmill.host.metrics import HostMetrics
+from egretmill.host.settings import HostSettings
+from egretmill.host.upstreams import UpstreamPool
+from egretmill.http1 import ConnectionLimits
+from egretmill.peers.table import PeerTable
+from egretmill.placement.work import WorkTimes
+from egretmill.placement.retries import RetryBudget
+from egretmill.shares.accounts import AccountLimits, Tolerance
+from egretmill.shares.loans import LoanBook
+from egretmill.shares.roster import FleetShare
+
+__all__ = ('HostState',)
+
+#: Part of the fleet's budget for retries that hosts plan with; the rest is
+#: for requests that are counted at an upstream but not here.
+RETRY_PLANNED_PART = 0.8
+#: Part of the tolerated excess over a rate that hosts use to smooth its
+#: division; the rest covers clocks and messages on their way.
+TOLERANCE_USED_PART = 0.5
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class HostState:
+    """All state of one host process.
+
+    :param incarnation: differs after each start, grows.
+    """
+
+    settings: HostSettings
+    dialect: Dialect
+    metrics: HostMetrics
+    knowledge: Knowledge
+    share: FleetShare
+    loans: LoanBook
+    accounts: AccountLimits
+    peers: PeerTable
+    budget: RetryBudget
+    pool: UpstreamPool
+    work: dict[str, WorkTimes] = dataclasses.field(default_factory=dict)
+    incarnation: int = 0
+    leaving: bool = False
+    limits: ConnectionLimits = ConnectionLimits()
+    now: Callable[[], float] = boot_time
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: HostSettings,
+        dialect: Dialect,
+    ) -> 'HostState':
+        """Build the state of a host that knows nothing yet."""
+        bounds = settings.bounds
+        share = FleetShare(settings.name)
+        loans = LoanBook()
+        tolerance = Tolerance(
+            bounds.limit_requests * TOLERANCE_USED_PART,
+            bounds.limit_part * TOLERANCE_USED_PART,
+        )
+        knowledge = Knowledge()
+        pool = UpstreamPool(knowledge, share)
+        knowledge.on_upstream = pool.update
+        return cls(
+            settings,
+            dialect,
+            HostMetrics(),
+            knowledge,
+            share,
+            loans,
+            AccountLimits(share, loans, tolerance),
+            PeerTable(settings.name),
+            RetryBudget(
+                part=bounds.retry_part * RETRY_PLANNED_PART,
+                window_s=bounds.retry_window_s,
+            ),
+            pool,
+        )
+
+    @property
+    def configuration(self) -> FleetConfiguration | None:
+        """Return the configuration in force here."""
+        return self.knowledge.configuration
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers should come."""
+        if self.leaving or self.configuration is None:
+            return False
+        return self.share.fraction(self.now()) > 0
+
+    def adopt(self, configuration: FleetConfiguration) -> bool:
+        """Put a newer configuration in force."""
+        if not self.knowledge.adopt(configuration):
+            return False
+        self.accounts.apply(configuration.accounts(), self.now())
+        limits = configuration.limits
+        self.limits = ConnectionLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_s,
+            limits.idle_s,
+        )
+        self.pool.apply_services(configuration.services)
+        self.metrics.version.set(configuration.version)
+        return True
+
+    def share_retries(self) -> None:
+        """Divide the fleet's allowance of retries by the roster."""
+        planned = self.settings.bounds.retry_allowance * RETRY_PLANNED_PART
+        fraction = self.share.fraction(self.now())
+        self.budget.allowance = planned * fraction
+
+    def times_for(self, route: str, target_s: float) -> WorkTimes:
+        """Return the work times of a route."""
+        found = self.work.get(route)
+        if found is None:
+            found = WorkTimes.from_target(target_s)
+            self.work[route] = found
+        return found
+
+    def knowledge_digest(self) -> int:
+        """Return what equal knowledge on another host has in common."""
+        domains = ','.join(sorted(self.knowledge.evacuated))
+        text = f'{self.knowledge.version}/{domains}'
+        return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+
+    def roster_digest(self) -> int:
+        """Return what equal rosters on other hosts have in common."""
+        text = ','.join(sorted(self.share.members))
+        return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+
+    def upstream_gone(self, upstream: Upstream) -> None:
+        """Drop an upstream that is not registered any more."""
+        self.pool.forget(upstream)
--- /dev/null
+++ b/egretmill/http1/__init__.py
@@ -0,0 +1,35 @@
+"""HTTP/1.1 connections to callers and upstreams on asyncio transports.
+
+Parsing is left to :mod:`httptools`. Requests that arrive behind each other
+on one connection are served at the same time and answered in order.
+"""
+
+from egretmill.http1.client import (
+    Call,
+    CallFailure,
+    ClientConnection,
+    FailureCause,
+    connect,
+)
+from egretmill.http1.messages import Body, RequestHead, Response
+from egretmill.http1.server import (
+    ConnectionLimits,
+    PendingAnswer,
+    RequestHandler,
+    ServerConnection,
+)
+
+__all__ = (
+    'Body',
+    'Call',
+    'CallFailure',
+    'ClientConnection',
+    'ConnectionLimits',
+    'FailureCause',
+    'PendingAnswer',
+    'RequestHandler',
+    'RequestHead',
+    'Response',
+    'ServerConnection',
+    'connect',
+)
--- a/egretmill/logs.py
+++ b/egretmill/logs.py
@@ -44,13 +44,18 @@
         log_data.update(getattr(record, 'fields', {}))
 
 
-def configure(level: str, output_format: str) -> None:
+def configure(
+    level: str,
+    output_format: str,
+    handler: logging.Handler | None = None,
+) -> None:
     """Send the logs of the program to standard error.
 
     :param level: a level name of :mod:`logging`.
     :param output_format: ``text`` or ``json``.
+    :param handler: takes the lines instead of standard error.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     if output_format == 'json':
         handler.setFormatter(EventJsonFormatter())
     else:
--- a/egretmill/routing/retries.py
+++ b/egretmill/placement/retries.py
@@ -25,9 +25,21 @@
 
     The caller asks only for idempotent requests; :class:`Router` refuses a
     second choice while the whole site sheds load.
+
+    :param part: retries as a part of the recent requests.
+    :param allowance: retries beyond that part.
+    :param window_s: time for which requests count as recent, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        part: float = RETRY_PART,
+        allowance: float = 0,
+        window_s: float = WINDOW_S,
+    ) -> None:
+        self.part = part
+        self.allowance = allowance
+        self.window_s = window_s
         self.services: dict[str, collections.deque[Interval]] = {}
 
     def record(self, service: str, now: float) -> None:
@@ -40,7 +52,7 @@
         intervals = self.services[service]
         requests = sum(row.requests for row in intervals)
         retries = sum(row.retries for row in intervals)
-        if retries + 1 > requests * RETRY_PART:
+        if retries + 1 > requests * self.part + self.allowance:
             return False
         current.retries += 1
         return True
@@ -48,7 +60,7 @@
     def _current(self, service: str, now: float) -> Interval:
         intervals = self.services.setdefault(service, collections.deque())
         second = int(now)
-        while intervals and intervals[0].second <= second - WINDOW_S:
+        while intervals and intervals[0].second <= second - self.window_s:
             intervals.popleft()
         if not intervals or intervals[-1].second < second:
             intervals.append(Interval(second))
--- a/egretmill/quota/concurrency.py
+++ b/egretmill/quota/concurrency.py
@@ -17,7 +17,7 @@
 import math
 from collections.abc import Iterator, Sequence
 
-from egretmill.quota.division import Share
+from egretmill.shares.bucket import Share
 from egretmill.quota.holding import Holding
 from egretmill.quota.loans import Part, Question, margin_s
 from egretmill.quota.ownership import Ownership
--- a/egretmill/quota/division.py
+++ b/egretmill/quota/division.py
@@ -5,41 +5,19 @@
 total.
 """
 
-import dataclasses
 from collections.abc import Sequence
 
 import xxhash
 
 from egretmill.quota.totals import ConcurrencyTotal, RateTotal, Totals
+from egretmill.shares.bucket import NOTHING, Share
 
-__all__ = ('NOTHING', 'Share', 'divide_rate', 'divide_slots', 'owned_share')
+__all__ = ('divide_rate', 'divide_slots', 'owned_share')
 
 #: Tenths of a concurrency total that the site's own failure domain owns.
 LOCAL_TENTHS = 6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Share:
-    """A part of a total.
-
-    :param amount: rate per second, or a number of slots.
-    :param capacity: burst in tokens, 0 for concurrency totals.
-    """
-
-    amount: float = 0.0
-    capacity: float = 0.0
-
-    def lowest(self, other: 'Share') -> 'Share':
-        """Return what both shares allow."""
-        return Share(
-            min(self.amount, other.amount),
-            min(self.capacity, other.capacity),
-        )
-
-
-NOTHING = Share()
-
-
 def owned_share(totals: Totals, name: str, index: int) -> Share:
     """Return what the share slot ``index`` owns of a total."""
     match totals.find(name):
--- a/egretmill/quota/holdings.py
+++ b/egretmill/quota/holdings.py
@@ -9,7 +9,7 @@
 from egretmill.quota.answers import Answers
 from egretmill.quota.asking import Asking
 from egretmill.quota.concurrency import ConcurrencyHolding
-from egretmill.quota.division import NOTHING, Share
+from egretmill.shares.bucket import NOTHING, Share
 from egretmill.quota.loans import Question
 from egretmill.quota.ownership import Ownership, is_concurrency
 from egretmill.quota.policy import DEFAULT, NO_NEED, Policy
--- a/egretmill/quota/loans.py
+++ b/egretmill/quota/loans.py
@@ -10,7 +10,7 @@
 import dataclasses
 from collections.abc import Iterable, Iterator
 
-from egretmill.quota.division import Share
+from egretmill.shares.bucket import Share
 from egretmill.quota.policy import Need
 
 __all__ = ('Part', 'Parts', 'Question', 'margin_s')
--- a/egretmill/quota/ownership.py
+++ b/egretmill/quota/ownership.py
@@ -12,7 +12,8 @@
 import math
 from collections.abc import Iterator
 
-from egretmill.quota.division import NOTHING, Share, owned_share
+from egretmill.quota.division import owned_share
+from egretmill.shares.bucket import NOTHING, Share
 from egretmill.quota.loans import margin_s
 from egretmill.quota.totals import Totals
 from egretmill.wire.messages import ShareSlot, UpstreamRecord
--- a/egretmill/quota/policy.py
+++ b/egretmill/quota/policy.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-from egretmill.quota.division import Share
+from egretmill.shares.bucket import Share
 
 __all__ = ('DEFAULT', 'NO_NEED', 'Need', 'Policy', 'slight', 'split')
 
--- a/egretmill/quota/rate_policy.py
+++ b/egretmill/quota/rate_policy.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from egretmill.quota.division import Share
+from egretmill.shares.bucket import Share
 from egretmill.quota.policy import SLIGHT, Need, Policy
 
 __all__ = ('RateView',)
--- a/egretmill/quota/rates.py
+++ b/egretmill/quota/rates.py
@@ -9,8 +9,7 @@
 import math
 from collections.abc import Iterator, Sequence
 
-from egretmill.quota.bucket import TokenBucket
-from egretmill.quota.division import Share
+from egretmill.shares.bucket import Share, TokenBucket
 from egretmill.quota.holding import Holding
 from egretmill.quota.loans import Part, Question, margin_s
 from egretmill.quota.ownership import Ownership
--- a/egretmill/routing/__init__.py
+++ b/egretmill/routing/__init__.py
@@ -1,9 +1,9 @@
 """Views of upstreams, choice of site and upstream, retry budget."""
 
 from egretmill.routing.decision import Decision
-from egretmill.routing.observations import Observation, ObservationKind
+from egretmill.placement.observations import Observation, ObservationKind
 from egretmill.routing.policies import POLICIES, Policy, get_policy
-from egretmill.routing.retries import RetryBudget
+from egretmill.placement.retries import RetryBudget
 from egretmill.routing.router import Router
 from egretmill.routing.sites import Limits
 from egretmill.routing.upstreams import UpstreamTable
--- a/egretmill/routing/upstreams.py
+++ b/egretmill/routing/upstreams.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from egretmill.document import Environment
-from egretmill.routing.health import Ramp
-from egretmill.routing.observations import Observation
+from egretmill.placement.health import Ramp
+from egretmill.placement.observations import Observation
 from egretmill.routing.view import DrainSource, UpstreamView
 from egretmill.wire.messages import UpstreamRecord
 
--- a/egretmill/routing/view.py
+++ b/egretmill/routing/view.py
@@ -4,8 +4,8 @@
 import enum
 import math
 
-from egretmill.routing.health import Health, Latency, Ramp
-from egretmill.routing.observations import (
+from egretmill.placement.health import Health, Latency, Ramp
+from egretmill.placement.observations import (
     LoadReport,
     Observation,
     ObservationKind,
--- /dev/null
+++ b/egretmill/shares/roster.py
@@ -0,0 +1,101 @@
+"""The part of every fleet-wide limit that a host owns by the roster.
+
+The roster names the hosts that own a part. It lies in the platform's store,
+so that hosts that cannot see each other never add up to more than one
+whole: a host that joins waits until every other host must have seen it, and
+hosts that stay wait before they take over the part of one that left.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from egretmill.fleet.freshness import Proof
+
+__all__ = ('LEASE_S', 'FleetShare')
+
+#: Knowledge of the roster that is older than this counts for half: another
+#: host may have joined meanwhile. Longer than the wait of a store read.
+LEASE_S = 6.0
+#: Clocks of hosts run at slightly different rates.
+MARGIN_S = 0.2
+#: Part of the owned fraction that is used with outdated knowledge.
+OUTDATED_PART = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerRoster:
+    """A larger roster that still binds.
+
+    :param until: boot time at which its members have lapsed.
+    """
+
+    size: int
+    until: float
+
+
+@dataclasses.dataclass(slots=True)
+class FleetShare:
+    """Fraction of fleet-wide limits that this host owns.
+
+    :param host: name of this host.
+    :param active_at: boot time from which the own part is used.
+    :param new: the own entry did not exist before.
+    """
+
+    host: str
+    members: frozenset[str] = frozenset()
+    proof: Proof = dataclasses.field(default_factory=Proof)
+    active_at: float = math.inf
+    new: bool = False
+    former: list[FormerRoster] = dataclasses.field(default_factory=list)
+
+    def joined(self, now: float, wait_s: float, *, new: bool) -> None:
+        """Note that the own entry is in the store.
+
+        :param wait_s: time until the own part may be used: the lease of the
+            other hosts for a new entry, the longest loan for one that an
+            earlier incarnation of this host has left.
+        :param new: the entry did not exist before.
+        """
+        self.new = new
+        self.active_at = now + wait_s + MARGIN_S
+
+    def confirmed(self, now: float) -> None:
+        """Note that every other member knows the roster with this host.
+
+        A restarted host still waits for the end of what it had lent.
+        """
+        if not self.new:
+            return
+        self.active_at = min(self.active_at, now)
+
+    def read(self, members: Iterable[str], sent_at: float, now: float) -> bool:
+        """Take the roster from the store; return whether it has changed.
+
+        :param sent_at: boot time at which the read was sent.
+        """
+        named = frozenset(members)
+        self.proof.confirm(sent_at)
+        if named == self.members:
+            return False
+        if self.members - named:
+            until = now + LEASE_S + MARGIN_S
+            self.former.append(FormerRoster(len(self.members), until))
+        self.members = named
+        return True
+
+    def size(self, now: float) -> int:
+        """Return the number of hosts that may use a part."""
+        self.former = [row for row in self.former if row.until > now]
+        sizes = [row.size for row in self.former]
+        return max(len(self.members), *sizes, 1)
+
+    def fraction(self, now: float) -> float:
+        """Return the owned fraction now, 0 before the own part is active."""
+        if self.host not in self.members or now < self.active_at:
+            return 0
+        owned = 1 / self.size(now)
+        if self.proof.age(now) > LEASE_S:
+            return owned * OUTDATED_PART
+        return owned
--- /dev/null
+++ b/egretmill/tables/__init__.py
@@ -0,0 +1,27 @@
+"""Versioned tables of a store: port, rows and watches."""
+
+from egretmill.tables.ports import (
+    Changes,
+    RowKey,
+    Snapshot,
+    StoredRow,
+    StoreFailure,
+    StoreProblem,
+    TableStore,
+    Write,
+)
+from egretmill.tables.watch import TableListener, TableWatch, WatchPace
+
+__all__ = (
+    'Changes',
+    'RowKey',
+    'Snapshot',
+    'StoreFailure',
+    'StoreProblem',
+    'StoredRow',
+    'TableListener',
+    'TableStore',
+    'TableWatch',
+    'WatchPace',
+    'Write',
+)
--- a/tests/quota/test_holdings.py
+++ b/tests/quota/test_holdings.py
@@ -4,7 +4,7 @@
 
 from bench.quota_fleet import document, upstreams
 from egretmill.quota import Holdings, Refused, Taken
-from egretmill.quota.division import NOTHING
+from egretmill.shares.bucket import NOTHING
 from egretmill.wire.messages import Loans, ShareSlot
 
 ACCOUNT = 'account/a'
--- a/tests/routing/test_retries.py
+++ b/tests/routing/test_retries.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from egretmill.routing import RetryBudget
-from egretmill.routing.retries import WINDOW_S
+from egretmill.placement.retries import WINDOW_S
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
