Count the home upstream of an object as warm; place uploads near first

Cause: hosts took an upstream for cold until their own request had ended there, so concurrent requests for an object spread over cold upstreams, and upstreams that joined got nothing because all others were warm.

--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -51,6 +51,7 @@
     def tick(self) -> None:
         """Send one beat to each peer and note who has gone or come."""
         now = self.state.now()
+        self.state.accounts.refresh(now)
         shortages = {
             account: (round(row.need, 4), round(row.held, 4))
             for account, row in self.state.accounts.shortages(now).items()
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -76,8 +76,7 @@
     @property
     def times(self) -> WorkTimes:
         """Return the work times of the route."""
-        route = self.accepted.route
-        return self.state.times_for(route.name, route.target_latency_s)
+        return self.state.times_for(self.accepted.route)
 
     async def _run(self) -> Result[Response, Refusal]:
         if self.pending.head.has_body:
@@ -103,7 +102,9 @@
         patience_s = self.left_s - self.times.warm_s
         admitted = state.accounts.admit(account, state.now(), patience_s)
         if isinstance(admitted, Limited):
-            failure = Failure(ErrorKind.RATE_LIMITED, account.name)
+            held = state.accounts.held(account.name, state.now())
+            detail = f'{held:.3f} of {account.rate_per_s:g}/s held here'
+            failure = Failure(ErrorKind.RATE_LIMITED, detail)
             return Refusal.not_run(failure, admitted.retry_after_s)
         if admitted.wait_s:
             await asyncio.sleep(admitted.wait_s)
@@ -123,17 +124,16 @@
 
     def _place(self) -> Result[Placed, Refusal]:
         accepted = self.accepted
-        region = self.state.settings.region
-        first = region if accepted.route.kind is RouteKind.UPLOAD else ''
+        settings = self.state.settings
         order = self.state.pool.order(
             accepted.service,
             accepted.object_key,
             accepted.home_regions,
-            first,
+            near_first=accepted.route.kind is RouteKind.UPLOAD,
         )
         placement = Placement(
             accepted.object_key,
-            region,
+            settings.region,
             self.times,
             self.left_s,
             accepted.route.idempotent,
@@ -156,7 +156,7 @@
         state = self.state
         load = placed.load
         started_at = state.now()
-        load.begin(started_at)
+        load.begin(started_at, self.accepted.object_key)
         verdict = Verdict.cancelled()
         try:
             ended = await self._call(placed)
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from egretmill.fleet.configuration import FleetConfiguration
+from egretmill.fleet.configuration import FleetConfiguration, Route
 from egretmill.fleet.freshness import boot_time
 from egretmill.fleet.knowledge import Knowledge
 from egretmill.fleet.upstreams import Upstream
@@ -69,7 +69,12 @@
             bounds.limit_part * TOLERANCE_USED_PART,
         )
         knowledge = Knowledge()
-        pool = UpstreamPool(knowledge, share)
+        pool = UpstreamPool(
+            knowledge,
+            share,
+            settings.failure_domain,
+            settings.region,
+        )
         knowledge.on_upstream = pool.update
         return cls(
             settings,
@@ -121,12 +126,15 @@
         fraction = self.share.fraction(self.now())
         self.budget.allowance = planned * fraction
 
-    def times_for(self, route: str, target_s: float) -> WorkTimes:
+    def times_for(self, route: Route) -> WorkTimes:
         """Return the work times of a route."""
-        found = self.work.get(route)
+        found = self.work.get(route.name)
         if found is None:
-            found = WorkTimes.from_target(target_s)
-            self.work[route] = found
+            found = WorkTimes.from_target(
+                route.target_latency_s,
+                route.timeout_s,
+            )
+            self.work[route.name] = found
         return found
 
     def knowledge_digest(self) -> int:
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -34,10 +34,18 @@
 class UpstreamPool:
     """State of each upstream that this host knows."""
 
-    def __init__(self, knowledge: Knowledge, share: FleetShare) -> None:
-        """Start without upstreams."""
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        share: FleetShare,
+        failure_domain: str,
+        region: str,
+    ) -> None:
+        """Start without upstreams, for a host at a place."""
         self.knowledge = knowledge
         self.share = share
+        self.failure_domain = failure_domain
+        self.region = region
         self.loads: dict[str, UpstreamLoad] = {}
         self.services: Mapping[str, Service] = {}
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
@@ -101,21 +109,23 @@
         service: str,
         object_key: str,
         home_regions: frozenset[str],
-        region: str = '',
+        *,
+        near_first: bool = False,
     ) -> tuple[UpstreamLoad, ...]:
         """Return the upstreams that may run a request, the best first.
 
         :param home_regions: regions that may run it; empty allows all.
-        :param region: upstreams of this region come first.
+        :param near_first: upstreams of the host's failure domain come first,
+            then those of its region; for large bodies.
         """
         edition = self.knowledge.upstreams.edition
         if edition != self.edition or len(self.orders) > ORDERS_KEPT:
             self.orders.clear()
             self.edition = edition
-        key = (service, object_key, home_regions, bool(region))
+        key = (service, object_key, home_regions, near_first)
         found = self.orders.get(key)
         if found is None:
-            found = self._compute_order(key, region)
+            found = self._compute_order(key)
             self.orders[key] = found
         return found
 
@@ -161,12 +171,8 @@
         for connection in self.idle.pop(name, ()):
             connection.abort()
 
-    def _compute_order(
-        self,
-        key: OrderKey,
-        region: str,
-    ) -> tuple[UpstreamLoad, ...]:
-        service, object_key, home_regions, _ = key
+    def _compute_order(self, key: OrderKey) -> tuple[UpstreamLoad, ...]:
+        service, object_key, home_regions, near_first = key
         evacuated = self.knowledge.evacuated
         allowed = [
             upstream
@@ -175,12 +181,15 @@
             and (not home_regions or upstream.region in home_regions)
         ]
         ordered = rendezvous_order(object_key, allowed)
-        if region:
-            ordered = tuple(
-                sorted(ordered, key=lambda row: row.region != region),
-            )
+        if near_first:
+            ordered = tuple(sorted(ordered, key=self._distance))
         return tuple(self.loads[upstream.name] for upstream in ordered)
 
+    def _distance(self, upstream: Upstream) -> int:
+        if upstream.failure_domain == self.failure_domain:
+            return 0
+        return 1 if upstream.region == self.region else 2
+
     def _update_cold(self, load: UpstreamLoad, upstream: Upstream) -> None:
         service = self.services.get(upstream.service)
         now = self.knowledge.now()
--- a/egretmill/http1/messages.py
+++ b/egretmill/http1/messages.py
@@ -201,7 +201,8 @@
 def encode_headers(headers: Iterable[Header]) -> bytes:
     """Return header lines, without the empty line that ends a head."""
     return b''.join(
-        b'%b: %b\r\n' % (name, text) for name, text in headers  # noqa: WPS323
+        b'%b: %b\r\n' % (name, text)
+        for name, text in headers  # noqa: WPS323
     )
 
 
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -88,7 +88,7 @@
             best = self._best(order, COMPARED, len(order))
         if best is None:
             return self._none(order)
-        if best.expected_s > self.left_s:
+        if self._is_late(best):
             return Crowded(best.expected_s - self.left_s)
         return best
 
@@ -108,6 +108,9 @@
                 continue
             placed = self._expect(load)
             cost = placed.expected_s + place * place_s
+            if place == 0 and start == 0 and not placed.warm:
+                # Other hosts send the object here as well.
+                cost -= self.times.cold_s - self.times.warm_s
             if cost < lowest:
                 best = placed
                 lowest = cost
@@ -126,6 +129,17 @@
         expected_s = (work_s + wait_s) * slowness + trip_s
         return Placed(load, expected_s, work_s + trip_s, warm, ahead == 0)
 
+    def _is_late(self, placed: Placed) -> bool:
+        """Tell whether the response would be of no use.
+
+        The work of a single request is not known beforehand, so a free slot
+        is tried unless even a quick request would be late.
+        """
+        needed_s = placed.expected_s
+        if placed.free:
+            needed_s = min(needed_s, self.times.warm_s)
+        return needed_s > self.left_s
+
     def _is_full(self, load: UpstreamLoad) -> bool:
         bound = FULL_FACTOR * max(load.record.slots, 1)
         return load.load(self.now) >= bound
--- a/egretmill/placement/load.py
+++ b/egretmill/placement/load.py
@@ -99,8 +99,14 @@
             return False
         return now - self.progress_at > max(STALL_S, STALL_FACTOR * work_s)
 
-    def begin(self, now: float) -> None:
-        """Note that a request is sent."""
+    def begin(self, now: float, object_key: str = '') -> None:
+        """Note that a request is sent.
+
+        Later requests for its object find the upstream warm, because they
+        run after it.
+        """
+        if object_key:
+            self._warm(object_key, now)
         if not self.in_flight:
             self.progress_at = now
         self.in_flight += 1
@@ -137,10 +143,7 @@
         current = self.slowness_now(now)
         self.slowness = current + SLOWNESS_WEIGHT * (sample - current)
         self.slowness_at = now
-        self.warm[object_key] = now
-        self.warm.move_to_end(object_key)
-        if len(self.warm) > WARM_OBJECTS:
-            self.warm.popitem(last=False)
+        self._warm(object_key, now)
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Learn the load of the other hosts from a response."""
@@ -161,6 +164,12 @@
         self.health = Health()
         self.warm.clear()
 
+    def _warm(self, object_key: str, now: float) -> None:
+        self.warm[object_key] = now
+        self.warm.move_to_end(object_key)
+        if len(self.warm) > WARM_OBJECTS:
+            self.warm.popitem(last=False)
+
     def _hold(self, now: float) -> None:
         if now >= self.held_until:
             doubled_s = max(FIRST_HOLD_S, 2 * self.hold_s)
--- a/egretmill/placement/work.py
+++ b/egretmill/placement/work.py
@@ -10,6 +10,8 @@
 #: Targets leave room for a warm upstream and none for a cold one.
 COLD_PART = 1.4
 WARM_PART = 0.5
+#: ... and no more than this part of the longest time.
+TIMEOUT_PART = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,9 +26,10 @@
     cold_s: float
 
     @classmethod
-    def from_target(cls, target_s: float) -> 'WorkTimes':
-        """Start from the target latency of a route."""
-        return cls(target_s * WARM_PART, target_s * COLD_PART)
+    def from_target(cls, target_s: float, timeout_s: float) -> 'WorkTimes':
+        """Start from the target latency and the timeout of a route."""
+        bounded_s = min(target_s, timeout_s * TIMEOUT_PART)
+        return cls(bounded_s * WARM_PART, bounded_s * COLD_PART)
 
     def expected_s(self, *, warm: bool) -> float:
         """Return the mean work of the next request."""
--- a/egretmill/shares/accounts.py
+++ b/egretmill/shares/accounts.py
@@ -109,6 +109,11 @@
             else:
                 self.states[name] = AccountState(account, TokenBucket(now))
 
+    def refresh(self, now: float) -> None:
+        """Let tokens accrue for accounts without requests as well."""
+        for state in self.states.values():
+            self._fill(state, now)
+
     def admit(
         self,
         account: ClientAccount,
--- /dev/null
+++ b/tests/shares/test_accounts.py
@@ -0,0 +1,187 @@
+"""Rates of client accounts over several hosts."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretmill.fleet.configuration import ClientAccount
+from egretmill.shares.accounts import (
+    AccountLimits,
+    Admitted,
+    Limited,
+    Tolerance,
+)
+from egretmill.shares.loans import LoanBook, Shortage
+from egretmill.shares.roster import FleetShare
+
+NOW = 500.0
+RATE = 40.0
+BURST = 40.0
+ACCOUNT = ClientAccount('acct', RATE, BURST)
+WINDOW_S = 5.0
+
+
+class Host:
+    """Limits of one host, without a network."""
+
+    def __init__(self, name, members, now=NOW, tolerance=Tolerance()):
+        self.name = name
+        share = FleetShare(name)
+        share.read(members, now, now)
+        share.joined(now - 10, 0, new=False)
+        self.loans = LoanBook()
+        self.share = share
+        self.limits = AccountLimits(share, self.loans, tolerance)
+        self.limits.apply({'acct': ACCOUNT}, now)
+
+    def admits(self, now):
+        """Tell whether a request may be sent at once."""
+        self.share.proof.confirm(now)
+        admitted = self.limits.admit(ACCOUNT, now, patience_s=0)
+        return isinstance(admitted, Admitted)
+
+
+def fleet(count=4, **options):
+    """Return hosts that know each other."""
+    names = [f'h{number}' for number in range(count)]
+    return [Host(name, names, **options) for name in names]
+
+
+def exchange(hosts, now):
+    """Let every host answer the shortages of all others."""
+    for borrower in hosts:
+        shortages = borrower.limits.shortages(now)
+        for lender in hosts:
+            if lender is borrower:
+                continue
+            loans = lender.loans.lend(
+                borrower.name,
+                {name: Shortage(*row) for name, row in _rows(shortages)},
+                lender.limits.spare(now),
+                len(hosts) - 1,
+                now,
+            )
+            borrower.loans.take(lender.name, loans, now)
+
+
+def _rows(shortages):
+    return [(name, (row.need, row.held)) for name, row in shortages.items()]
+
+
+def drive(hosts, picks, seconds, per_s, rng, restart=None):
+    """Send requests; return the times of those admitted and refused."""
+    sent = []
+    refused = []
+    now = NOW
+    beat_at = now
+    while now < NOW + seconds:
+        now += rng.expovariate(per_s)
+        if now >= beat_at:
+            exchange(hosts, now)
+            for host in hosts:
+                host.limits.refresh(now)
+            beat_at = now + 0.25
+        if restart is not None and now >= restart:
+            names = [host.name for host in hosts]
+            for index, name in enumerate(names):
+                hosts[index] = Host(name, names, now)
+            restart = None
+        if rng.choice(picks(hosts)).admits(now):
+            sent.append(now)
+        else:
+            refused.append(now)
+    return sent, refused
+
+
+def most_in_window(sent):
+    """Return the largest number of requests in any window."""
+    return max(
+        len([at for at in sent if start <= at < start + WINDOW_S])
+        for start in sent
+    )
+
+
+def test_buckets_start_empty():
+    """Guards against a second burst after a restart."""
+    assert not fleet()[0].admits(NOW)
+
+
+def test_request_waits_a_moment_for_its_token():
+    """Guards against refusals for want of a part of a token."""
+    host = fleet()[0]
+    admitted = host.limits.admit(ACCOUNT, NOW + 0.01, patience_s=1)
+    assert isinstance(admitted, Admitted)
+    assert 0 < admitted.wait_s <= 0.15
+
+
+def test_refusal_tells_when_there_is_a_token():
+    """Guards against a Retry-After that leads to the next refusal."""
+    host = fleet()[0]
+    limited = host.limits.admit(ACCOUNT, NOW, patience_s=0)
+    assert isinstance(limited, Limited)
+    later = NOW + limited.retry_after_s + 0.001
+    assert host.admits(later)
+
+
+def test_token_of_a_request_that_was_not_sent_returns():
+    """Guards against a rate that is used up by refused requests."""
+    host = fleet(1)[0]
+    now = NOW + 10
+    while host.admits(now):
+        pass
+    host.limits.give_back(ACCOUNT, now)
+    assert host.admits(now)
+
+
+def test_rate_follows_callers_that_move_to_one_host():
+    """Guards against refusals inside the rate when callers move."""
+    rng = random.Random(1)
+    hosts = fleet()
+    _, refused = drive(hosts, lambda hosts: hosts[:1], 12, 30, rng)
+    late = [at for at in refused if at > NOW + 2]
+    assert len(late) < 0.05 * 10 * 30
+
+
+def test_tokens_accrue_before_the_first_request():
+    """Guards against refusing the first requests of an idle account."""
+    host = fleet()[0]
+    host.limits.refresh(NOW)
+    host.share.proof.confirm(NOW + 1)
+    assert host.admits(NOW + 1)
+
+
+def test_unlimited_account_passes():
+    """Guards against a limit where none is set."""
+    host = fleet()[0]
+    free = ClientAccount('free')
+    host.limits.apply({'free': free}, NOW)
+    assert host.limits.admit(free, NOW) == Admitted()
+
+
+def test_lower_limit_binds_at_once():
+    """Guards against a burst that a lower limit leaves behind."""
+    host = fleet(1)[0]
+    host.limits.refresh(NOW)
+    host.share.proof.confirm(NOW + 60)
+    host.limits.refresh(NOW + 60)
+    host.limits.apply({'acct': ClientAccount('acct', 1, 1)}, NOW + 60)
+    low = ClientAccount('acct', 1, 1)
+    taken = [host.limits.admit(low, NOW + 60, 0) for _ in range(5)]
+    assert sum(isinstance(row, Admitted) for row in taken) == 1
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    st.integers(0, 2**32),
+    st.integers(1, 7),
+    st.one_of(st.none(), st.floats(3, 7)),
+)
+def test_fleet_keeps_the_limit(seed, count, restart_s):
+    """Guards against excess under overload, loans and a lost fleet."""
+    rng = random.Random(seed)
+    hosts = fleet(count, tolerance=Tolerance(10, 0.05))
+    restart = None if restart_s is None else NOW + restart_s
+    sent, _ = drive(hosts, lambda hosts: hosts, 10, 200, rng, restart)
+    bound = (RATE * WINDOW_S + BURST) * 1.1 + 20
+    assert most_in_window(sent) <= bound
--- /dev/null
+++ b/tests/shares/test_roster.py
@@ -0,0 +1,111 @@
+"""The owned part of fleet-wide limits."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretmill.shares.roster import LEASE_S, FleetShare
+
+NOW = 1000.0
+
+
+def share_of(host, members, now=NOW):
+    """Return an active part."""
+    share = FleetShare(host)
+    share.read(members, now, now)
+    share.joined(now - LEASE_S, 0, new=True)
+    return share
+
+
+def test_hosts_divide_the_whole():
+    """Guards against parts that add up to more than one."""
+    members = ('a', 'b', 'c', 'd')
+    fractions = [share_of(name, members).fraction(NOW) for name in members]
+    assert fractions == [0.25] * 4
+
+
+def test_new_host_waits_for_the_lease_of_the_others():
+    """Guards against a new part while others still divide by fewer hosts."""
+    share = FleetShare('b')
+    share.read(('a', 'b'), NOW, NOW)
+    share.joined(NOW, LEASE_S, new=True)
+    assert share.fraction(NOW + LEASE_S) == 0
+    share.proof.confirm(NOW + LEASE_S)
+    assert share.fraction(NOW + LEASE_S + 1) == 0.5
+
+
+def test_new_host_starts_when_all_others_know_it():
+    """Guards against a needless wait."""
+    share = FleetShare('b')
+    share.read(('a', 'b'), NOW, NOW)
+    share.joined(NOW, LEASE_S, new=True)
+    share.confirmed(NOW + 0.5)
+    assert share.fraction(NOW + 0.5) == 0.5
+
+
+def test_restarted_host_waits_for_the_end_of_its_loans():
+    """Guards against using a part that an earlier run has lent."""
+    share = FleetShare('b')
+    share.read(('a', 'b'), NOW, NOW)
+    share.joined(NOW, 1.0, new=False)
+    share.confirmed(NOW + 0.1)
+    assert share.fraction(NOW + 0.9) == 0
+    assert share.fraction(NOW + 1.3) == 0.5
+
+
+def test_part_of_a_removed_host_is_taken_over_late():
+    """Guards against two users of one part: the removed host may live."""
+    share = share_of('a', ('a', 'b'))
+    share.read(('a',), NOW, NOW)
+    assert share.fraction(NOW + LEASE_S) == 0.5
+    share.proof.confirm(NOW + LEASE_S + 1)
+    assert share.fraction(NOW + LEASE_S + 1) == 1.0
+
+
+def test_outdated_roster_halves_the_part():
+    """Guards against hosts that have missed a new one."""
+    share = share_of('a', ('a', 'b'))
+    assert share.fraction(NOW + LEASE_S + 0.1) == 0.25
+
+
+def test_host_outside_the_roster_has_no_part():
+    """Guards against a removed host that comes back."""
+    assert share_of('x', ('a', 'b')).fraction(NOW) == 0
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.05, 8),
+            st.sampled_from(('add', 'remove', 'read', 'read', 'read')),
+            st.integers(0, 5),
+        ),
+        max_size=30,
+    ),
+)
+def test_parts_never_exceed_the_whole(steps):
+    """Guards against any order of joins, removals and late reads.
+
+    A removed host that reads nothing any more may use half of its old
+    part; that is inside the tolerance of the users' limit.
+    """
+    now = NOW
+    names = [f'h{number}' for number in range(6)]
+    roster = {'h0', 'h1'}
+    shares = {name: share_of(name, roster) for name in roster}
+    for wait_s, action, index in steps:
+        now += wait_s
+        name = names[index]
+        if action == 'add' and name not in roster and name not in shares:
+            roster.add(name)
+            shares[name] = FleetShare(name)
+            shares[name].joined(now, LEASE_S, new=True)
+            shares[name].read(roster, now, now)
+        elif action == 'remove' and len(roster) > 1:
+            roster.discard(name)
+        elif name in shares:
+            shares[name].read(roster, now, now)
+        lost = [name for name in shares if name not in roster]
+        whole = sum(share.fraction(now) for share in shares.values())
+        outdated = sum(shares[name].fraction(now) for name in lost)
+        assert whole - outdated <= 1 + 1e-9
