Reuse connections of idempotent requests for 8 s; split the HTTP connections; add tests

Cause: an idempotent request reused a kept connection only for its own time left (0.8 s on short routes), which cost a second way between regions. Readers of requests and responses and the transport are modules of their own.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -33,6 +33,9 @@
 #: after its last response: nobody can tell what became of a request on a
 #: connection that has gone silent.
 ONCE_IDLE_S = 0.5
+#: An idempotent request can be sent again; upstreams keep a connection for
+#: ten seconds, in seconds.
+REPEATABLE_IDLE_S = 8.0
 #: An idempotent request waits this multiple of the expected time for the
 #: response before it is sent to another upstream ...
 IMPATIENCE = 3.0
@@ -196,7 +199,7 @@
             placed.load,
             self.state.now(),
             min(CONNECT_LIMIT_S, max(self.left_s, 0)),
-            self.left_s if idempotent else ONCE_IDLE_S,
+            REPEATABLE_IDLE_S if idempotent else ONCE_IDLE_S,
         )
         if isinstance(acquired, Err):
             return acquired
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -11,7 +11,7 @@
 from tornado import web
 from tornado.httpserver import HTTPServer
 
-from egretmill import events, logs
+from egretmill import events
 from egretmill.fleet.freshness import boot_time
 from egretmill.host.beats import Beats
 from egretmill.host.handler import EntryHandler
@@ -22,7 +22,7 @@
 from egretmill.host.updates import Updates
 from egretmill.http1 import ServerConnection
 from egretmill.log_volume import BoundedHandler
-from egretmill.logs import log_event
+from egretmill.logs import configure, log_event
 from egretmill.programs import StopSignals, omit_unused_log_fields
 from egretmill.tables.ports import TableStore
 from egretmill.tables.watch import TableWatch, WatchPace
@@ -260,7 +260,7 @@
 def configure_logs(settings: HostSettings, metrics: HostMetrics) -> None:
     """Write JSON lines of bounded volume to standard output."""
     drop = metrics.log_lines_suppressed.inc
-    logs.configure(
+    configure(
         settings.log_level,
         'json',
         BoundedHandler.for_stdout(drop),
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -23,9 +23,8 @@
 COLD_OWNERS = 4
 #: Kept connections per upstream.
 IDLE_LIMIT = 8
-#: A connection is used again up to this idle time, in seconds, and this
-#: long before the timeout that the upstream states.
-IDLE_S = 4.0
+#: A connection is used again up to this time before the timeout that the
+#: upstream states, in seconds.
 IDLE_MARGIN_S = 1.0
 
 OrderKey = tuple[str, str, frozenset[str], bool]
@@ -208,7 +207,6 @@
     idle_limit_s: float,
 ) -> bool:
     idle_s = now - connection.idle_since
-    limit_s = min(IDLE_S, idle_limit_s)
     if connection.keep_s is not None:
-        limit_s = min(limit_s, connection.keep_s - IDLE_MARGIN_S)
-    return idle_s <= limit_s
+        idle_limit_s = min(idle_limit_s, connection.keep_s - IDLE_MARGIN_S)
+    return idle_s <= idle_limit_s
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -3,10 +3,7 @@
 import asyncio
 import dataclasses
 import enum
-import socket
-from typing import Any
 
-import httptools
 from result import Err, Ok, Result
 
 from egretmill.http1.messages import (
@@ -17,16 +14,13 @@
     Response,
     encode_headers,
 )
+from egretmill.http1.response_reader import ResponseReader
+from egretmill.http1.transport import ConnectionTransport
 
 __all__ = ('Call', 'CallFailure', 'ClientConnection', 'FailureCause', 'connect')
 
-#: Longest response that is held in memory.
-RESPONSE_LIMIT_BYTES = 16 << 20
-#: Unacknowledged bytes end the connection after this time, in milliseconds;
-#: a receiver behind a network partition sends no reset.
-USER_TIMEOUT_MS = 5000
-HTTP_FIRST_FINAL = 200
-BODILESS = frozenset((204, 304))
+
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 class FailureCause(enum.StrEnum):
@@ -87,7 +81,7 @@
     @property
     def chunked(self) -> bool:
         """Tell whether the body goes in chunks of its own length."""
-        return not self.body.complete and self.length is None
+        return self.length is None and not self.body.complete
 
     def _framing(self) -> list[Header]:
         if self.chunked:
@@ -103,7 +97,7 @@
 Answer = Result[Response, CallFailure]
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(ConnectionTransport):
     """A connection that carries one call at a time.
 
     :param idle_since: loop time at which the last call ended.
@@ -111,29 +105,20 @@
 
     def __init__(self) -> None:
         """Wait for the transport."""
-        self.loop = asyncio.get_running_loop()
-        self.transport: asyncio.Transport | None = None
-        self.parser: httptools.HttpResponseParser | None = None
+        super().__init__()
+        self.reader: ResponseReader | None = None
         self.call: Call | None = None
         self.waiter: asyncio.Future[Answer] | None = None
-        self.response = Response(0)
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.until_end = False
         self.sent = False
         self.reusable = True
         self.idle_since = self.loop.time()
         self.keep_s: float | None = None
         self.calls = 0
-        self.writable = asyncio.Event()
-        self.writable.set()
 
     @property
     def open(self) -> bool:
         """Tell whether the next call may use the connection."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        return self.reusable
+        return self.reusable and not self.ended
 
     async def send(self, call: Call) -> Answer:
         """Send a request and return its whole response.
@@ -161,142 +146,82 @@
     def abort(self) -> None:
         """Reset the connection."""
         self.reusable = False
-        if self.transport is not None:
-            self.transport.abort()
-
-    def connection_made(self, transport: Any) -> None:
-        """Set the options of the socket."""
-        self.transport = transport
-        connected = transport.get_extra_info('socket')
-        if connected is not None:
-            level = socket.IPPROTO_TCP
-            connected.setsockopt(level, socket.TCP_NODELAY, 1)
-            connected.setsockopt(
-                level,
-                socket.TCP_USER_TIMEOUT,
-                USER_TIMEOUT_MS,
-            )
+        self.reset()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call; a response without length ends with the close."""
         self.transport = None
         self.writable.set()
-        if self.until_end and exc is None:
-            self._complete()
+        if self.reader is not None and exc is None:
+            self.reader.connection_ended()
         self._fail(FailureCause.CLOSED, str(exc or 'closed'))
 
     def eof_received(self) -> bool:
         """Close the own side as well."""
         return False
 
-    def pause_writing(self) -> None:
-        """Wait until the upstream has read what was sent."""
-        self.writable.clear()
-
-    def resume_writing(self) -> None:
-        """Send on."""
-        self.writable.set()
-
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived; bytes outside a call belong to none."""
-        if self.waiter is None or self.waiter.done():
+        if self.reader is None or self.waiter is None or self.waiter.done():
             self.abort()
             return
-        if self.parser is None:
-            self.parser = httptools.HttpResponseParser(self)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._break('protocol upgrade')
-        except httptools.HttpParserError as error:
-            self._break(str(error))
-
-    def on_message_begin(self) -> None:
-        """Start a new response."""
+        self.reader.feed(data)
+
+    def response_ended(self, response: Response) -> None:
+        """End the call unless the response is another's."""
         if self.waiter is None or self.waiter.done():
             # A second response arrived with the first one.
             self.reusable = False
-        self.response = Response(0)
-        self.chunks = []
-        self.size = 0
-        self.until_end = False
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Take one header."""
-        self.response.add(name, text)
-
-    def on_headers_complete(self) -> None:
-        """Note how the response ends."""
-        if self.parser is None or self.call is None:
-            return
-        self.response.status = self.parser.get_status_code()
-        if self.response.status < HTTP_FIRST_FINAL:
             return
-        fields = self.response.fields
-        bodiless = self.response.status in BODILESS
-        framed = b'content-length' in fields or b'transfer-encoding' in fields
-        if self.call.method == b'HEAD':
-            # The parser would wait for the body that the head announces.
-            self.reusable = False
-            self._complete()
-        elif not framed and not bodiless:
+        if self.reader is not None and not self.reader.reusable:
             self.reusable = False
-            self.until_end = True
-
-    def on_body(self, chunk: bytes) -> None:
-        """Take a part of the body."""
-        self.size += len(chunk)
-        if self.size > RESPONSE_LIMIT_BYTES:
-            self._break('response too long')
-            return
-        self.chunks.append(chunk)
-
-    def on_message_complete(self) -> None:
-        """End the call unless the response is interim or another's."""
-        if self.response.status < HTTP_FIRST_FINAL:
-            return
-        if self.parser is None or not self.parser.should_keep_alive():
-            self.reusable = False
-        if self._is_foreign():
+        if self._is_foreign(response):
             self._skip_foreign()
             return
-        self._complete()
+        if self.call is not None and not self.call.body.complete:
+            # The rest of the body would be read as the next request.
+            self.reusable = False
+        self.keep_s = _keep_alive_s(response)
+        self.waiter.set_result(Ok(response))
+
+    def malformed(self, detail: str) -> None:
+        """Fail the call: what arrives is no response."""
+        self._fail(FailureCause.MALFORMED, detail)
+        self.abort()
 
     def _start(self, call: Call) -> asyncio.Task[None] | None:
-        if self.transport is None or self.transport.is_closing():
+        if self.ended:
             self._fail(FailureCause.CLOSED, 'closed before the call')
             return None
         self.sent = True
         self.calls += 1
-        self.parser = None
+        self.reader = ResponseReader(self, bodiless=call.method == b'HEAD')
         head = call.head()
         if call.body.complete and call.body.replayable:
-            self.transport.write(head + b''.join(call.body.chunks))
+            self.write(head + b''.join(call.body.chunks))
             return None
-        self.transport.write(head)
+        self.write(head)
         return self.loop.create_task(self._write_body(call))
 
     async def _write_body(self, call: Call) -> None:
-        chunked = call.chunked
+        frame = _chunk if call.chunked else bytes
         try:
-            async for chunk in call.body.parts():
+            async for part in call.body.parts():
                 await self.writable.wait()
-                if self.transport is None:
-                    return
-                self.transport.write(_frame(chunk, chunked=chunked))
+                self.write(frame(part))
         except BodyCut:
             self._fail(FailureCause.CALLER_GONE, 'body was cut')
             self.abort()
             return
-        if chunked and self.transport is not None:
-            self.transport.write(b'0\r\n\r\n')
+        if call.chunked:
+            self.write(LAST_CHUNK)
 
-    def _is_foreign(self) -> bool:
+    def _is_foreign(self, response: Response) -> bool:
         expects = self.call.expects if self.call is not None else None
         if expects is None:
             return False
         name, text = expects
-        found = self.response.fields.get(name.lower())
+        found = response.fields.get(name.lower())
         if found is None:
             # The first response on a connection can only be to its request.
             return self.calls > 1
@@ -308,22 +233,6 @@
         self._fail(FailureCause.FOREIGN, 'response to another request')
         self.abort()
 
-    def _complete(self) -> None:
-        if self.waiter is None or self.waiter.done():
-            return
-        response = self.response
-        response.body = b''.join(self.chunks)
-        self.until_end = False
-        if self.call is not None and not self.call.body.complete:
-            # The rest of the body would be read as the next request.
-            self.reusable = False
-        self.keep_s = _keep_alive_s(response)
-        self.waiter.set_result(Ok(response))
-
-    def _break(self, detail: str) -> None:
-        self._fail(FailureCause.MALFORMED, detail)
-        self.abort()
-
     def _expire(self) -> None:
         self._fail(FailureCause.TIMEOUT, 'no response in time')
         self.abort()
@@ -338,7 +247,7 @@
     def _end_call(self) -> None:
         self.call = None
         self.waiter = None
-        self.chunks = []
+        self.reader = None
         self.idle_since = self.loop.time()
         if not self.reusable:
             self.abort()
@@ -369,10 +278,8 @@
     return Ok(connection)
 
 
-def _frame(chunk: bytes, *, chunked: bool) -> bytes:
-    if not chunked:
-        return chunk
-    return b'%x\r\n%b\r\n' % (len(chunk), chunk)
+def _chunk(part: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(part), part)
 
 
 def _keep_alive_s(response: Response) -> float | None:
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -3,17 +3,16 @@
 import asyncio
 import collections
 import dataclasses
-import socket
 from typing import Any, Protocol
 
-import httptools
-
 from egretmill.http1.messages import (
     Body,
     RequestHead,
     Response,
     response_head,
 )
+from egretmill.http1.request_reader import RequestReader
+from egretmill.http1.transport import ConnectionTransport
 
 __all__ = (
     'ConnectionLimits',
@@ -25,10 +24,11 @@
 #: Requests of one connection that are served at the same time; the
 #: connection is not read further until one is answered.
 PIPELINE_LIMIT = 64
-HTTP_BAD_REQUEST = 400
+#: Least time between two checks of an idle connection, in seconds.
+LEAST_CHECK_S = 1.0
 HTTP_TIMEOUT = 408
+HTTP_INTERNAL = 500
 HTTP_TOO_LARGE = 413
-HTTP_HEADERS_TOO_LARGE = 431
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -104,58 +104,82 @@
         self.connection.flush()
 
 
-class ServerConnection(asyncio.Protocol):
+class HeadTimer:
+    """Bounds the time until the next head is complete."""
+
+    def __init__(self, connection: 'ServerConnection') -> None:
+        """Watch a connection."""
+        self.connection = connection
+        self.loop = connection.loop
+        self.last_at = self.loop.time()
+        self.handle: asyncio.TimerHandle | None = None
+
+    def arm(self, limit_s: float) -> None:
+        """Start to count."""
+        self.last_at = self.loop.time()
+        if self.handle is None:
+            self.handle = self.loop.call_later(limit_s, self.check)
+
+    def cancel(self) -> None:
+        """Stop to count."""
+        if self.handle is not None:
+            self.handle.cancel()
+
+    def check(self) -> None:
+        """End the connection if its time is over."""
+        self.handle = None
+        connection = self.connection
+        if connection.transport is None:
+            return
+        reading = connection.reader.reading_head
+        limits = connection.handler.limits
+        limit_s = limits.header_s if reading else limits.idle_s
+        left_s = self.last_at + limit_s - self.loop.time()
+        if left_s > 0 or connection.serving:
+            wait_s = max(left_s, LEAST_CHECK_S)
+            self.handle = self.loop.call_later(wait_s, self.check)
+        elif reading:
+            connection.reader.reading_head = False
+            connection.reject(HTTP_TIMEOUT, 'head came too slowly')
+        else:
+            connection.end()
+
+
+class ServerConnection(ConnectionTransport):
     """One connection of a caller."""
 
     def __init__(self, handler: RequestHandler) -> None:
         """Serve requests with a handler."""
+        super().__init__()
         self.handler = handler
-        self.loop = asyncio.get_running_loop()
-        self.parser: httptools.HttpRequestParser | None = None
-        self.transport: asyncio.Transport | None = None
+        self.reader = RequestReader(self)
         self.queue: collections.deque[PendingAnswer] = collections.deque()
-        self.head = RequestHead()
-        self.head_bytes = 0
         self.current: PendingAnswer | None = None
-        self.reading_head = False
         self.closing = False
         #: The last answer is sent; the rest of its request still arrives.
         self.lingering = False
-        self.last_at = self.loop.time()
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer = HeadTimer(self)
 
     @property
-    def idle(self) -> bool:
-        """Tell whether no request is being read or served."""
-        return not self.queue and self.current is None and not self.reading_head
+    def serving(self) -> bool:
+        """Tell whether a request is being received or served."""
+        return bool(self.queue) or self.current is not None
 
     def connection_made(self, transport: Any) -> None:
         """Start to read requests."""
-        self.transport = transport
-        self.parser = httptools.HttpRequestParser(self)
-        connected = transport.get_extra_info('socket')
-        if connected is not None:
-            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().connection_made(transport)
         self.handler.opened(self)
-        self._arm(self.handler.limits.idle_s)
+        self.timer.arm(self.handler.limits.idle_s)
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived."""
-        if self.closing or self.parser is None:
-            return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTP_BAD_REQUEST, 'protocol upgrade')
-        except httptools.HttpParserError as error:
-            self._reject(HTTP_BAD_REQUEST, str(error))
+        if not self.closing and self.transport is not None:
+            self.reader.feed(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the requests that wait that their caller has gone."""
         self.transport = None
-        self.parser = None
-        if self.timer is not None:
-            self.timer.cancel()
+        self.timer.cancel()
         if self.current is not None:
             self.current.body.abandon()
         for pending in self.queue:
@@ -166,52 +190,37 @@
 
     def pause_writing(self) -> None:
         """Read no further requests while the caller reads no answers."""
-        self._set_reading(reads=False)
+        self.set_reading(reads=False)
 
     def resume_writing(self) -> None:
         """Read on."""
         self.resume_reading()
 
-    def on_message_begin(self) -> None:
-        """Start a new head."""
-        self.head = RequestHead()
-        self.head_bytes = 0
-        self.reading_head = True
-        self._arm(self.handler.limits.header_s)
-
-    def on_url(self, target: bytes) -> None:
-        """Take (a part of) the target."""
-        self.head.target += target
-        self._count_head(len(target))
+    def head_begun(self) -> None:
+        """Bound the time and size of a head."""
+        self.reader.head_limit = self.handler.limits.header_bytes
+        self.timer.arm(self.handler.limits.header_s)
 
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Take one header."""
-        self.head.add(name, text)
-        self._count_head(len(name) + len(text))
-
-    def on_headers_complete(self) -> None:
+    def head_ended(self, head: RequestHead, *, keep_alive: bool) -> None:
         """Start to serve the request."""
-        self.reading_head = False
-        if self.closing or self.parser is None:
+        if self.closing or self.transport is None:
             return
-        head = self.head
-        head.method = self.parser.get_method()
         head.received_at = self.loop.time()
         pending = PendingAnswer(self, head, Body(self.resume_reading))
-        pending.keep_alive = self.parser.should_keep_alive()
+        pending.keep_alive = keep_alive
         length = head.fields.get(b'content-length', b'0')
         if length.isdigit() and int(length) > self.handler.limits.body_bytes:
-            self._reject(HTTP_TOO_LARGE, 'body too long')
+            self.reject(HTTP_TOO_LARGE, 'body too long')
             return
         self.current = pending
         self.queue.append(pending)
         if head.fields.get(b'expect', b'').lower() == b'100-continue':
-            self._continue()
+            self.write(CONTINUE)
         self.handler.begin(pending)
         if len(self.queue) >= PIPELINE_LIMIT:
-            self._set_reading(reads=False)
+            self.set_reading(reads=False)
 
-    def on_body(self, chunk: bytes) -> None:
+    def body_part(self, chunk: bytes) -> None:
         """Take a part of the body."""
         pending = self.current
         if pending is None or pending.response is not None:
@@ -219,18 +228,18 @@
         pending.body.feed(chunk)
         if pending.body.received_bytes > self.handler.limits.body_bytes:
             pending.body.abandon()
-            self._reject(HTTP_TOO_LARGE, 'body too long')
+            self.reject(HTTP_TOO_LARGE, 'body too long')
         elif pending.body.is_full:
-            self._set_reading(reads=False)
+            self.set_reading(reads=False)
 
-    def on_message_complete(self) -> None:
+    def request_ended(self) -> None:
         """Note that the whole request has arrived."""
         pending = self.current
         self.current = None
         if pending is None:
             return
         if self.lingering:
-            self._close()
+            self.end()
             return
         if not pending.keep_alive:
             self.closing = True
@@ -243,17 +252,21 @@
         The connection closes after its last answer only: a request behind
         an answer that closes would count as not read.
         """
-        while self.queue and self._may_send(self.queue[0]):
+        while self.transport is not None and _is_due(self.queue):
             pending = self.queue.popleft()
             closes = self._closes_after(pending)
-            self._write(pending, closes=closes)
-            if closes:
-                self._close_after(pending)
-                return
-        if self.transport is None:
+            idle_s = int(self.handler.limits.idle_s)
+            self.write(_encode(pending, closes=closes, idle_s=idle_s))
+            if closes and pending is not self.current:
+                self.end()
+            elif closes:
+                # Closing with unread bytes resets the connection, which can
+                # destroy an answer that is on its way.
+                self.lingering = True
+        if self.ended:
             return
-        if not self.queue and self.current is None:
-            self._arm(self.handler.limits.idle_s)
+        if not self.serving:
+            self.timer.arm(self.handler.limits.idle_s)
         self.resume_reading()
 
     def resume_reading(self) -> None:
@@ -263,17 +276,17 @@
         if full and current is not None and current.response is None:
             return
         if len(self.queue) < PIPELINE_LIMIT:
-            self._set_reading(reads=True)
+            self.set_reading(reads=True)
 
     def close_if_idle(self) -> None:
         """Close a connection on which nothing is being served."""
-        if self.idle:
-            self._close()
+        if not self.serving and not self.reader.reading_head:
+            self.end()
 
-    def _may_send(self, pending: PendingAnswer) -> bool:
-        # An answer ahead of the rest of its body is sent at once; the rest
-        # is read and dropped, so that the connection stays usable.
-        return pending.response is not None and self.transport is not None
+    def end(self) -> None:
+        """Take no more requests and close."""
+        self.closing = True
+        self.close()
 
     def _closes_after(self, pending: PendingAnswer) -> bool:
         if self.queue or self.current not in {None, pending}:
@@ -282,39 +295,7 @@
             return True
         return self.handler.leaving and pending.body.complete
 
-    def _close_after(self, pending: PendingAnswer) -> None:
-        # Closing with unread bytes resets the connection, which can destroy
-        # an answer that is on its way.
-        if pending is self.current:
-            self.lingering = True
-            self.resume_reading()
-            return
-        self._close()
-
-    def _write(self, pending: PendingAnswer, *, closes: bool) -> None:
-        response = pending.response
-        if response is None or self.transport is None:
-            return
-        head = response_head(
-            response,
-            closes=closes,
-            keep_alive_s=int(self.handler.limits.idle_s),
-        )
-        if pending.head.method == b'HEAD':
-            self.transport.write(head)
-            return
-        self.transport.write(head + response.body)
-
-    def _continue(self) -> None:
-        if len(self.queue) == 1 and self.transport is not None:
-            self.transport.write(CONTINUE)
-
-    def _count_head(self, size: int) -> None:
-        self.head_bytes += size
-        if self.head_bytes > self.handler.limits.header_bytes:
-            self._reject(HTTP_HEADERS_TOO_LARGE, 'head too long')
-
-    def _reject(self, status: int, reason: str) -> None:
+    def reject(self, status: int, reason: str) -> None:
         """Answer what could not be read, behind the earlier answers."""
         if self.closing:
             return
@@ -323,45 +304,24 @@
         unread = self.current
         self.current = None
         if unread is None or unread.response is not None:
-            unread = PendingAnswer(self, self.head, Body())
+            unread = PendingAnswer(self, self.reader.head, Body())
             self.queue.append(unread)
         elif unread.on_gone is not None:
             unread.on_gone()
         unread.keep_alive = False
         unread.answer(Response(status))
 
-    def _close(self) -> None:
-        self.closing = True
-        if self.transport is not None:
-            self.transport.close()
 
-    def _set_reading(self, *, reads: bool) -> None:
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return
-        if reads and not transport.is_reading():
-            transport.resume_reading()
-        elif not reads and transport.is_reading():
-            transport.pause_reading()
+def _is_due(queue: 'collections.deque[PendingAnswer]') -> bool:
+    """Tell whether the first request has its answer.
 
-    def _arm(self, limit_s: float) -> None:
-        """Bound the time until the next head is complete."""
-        self.last_at = self.loop.time()
-        if self.timer is None:
-            self.timer = self.loop.call_later(limit_s, self._check_time)
+    An answer ahead of the rest of its body is sent at once; the rest is
+    read and dropped, so that the connection stays usable.
+    """
+    return bool(queue) and queue[0].response is not None
 
-    def _check_time(self) -> None:
-        self.timer = None
-        if self.transport is None:
-            return
-        limits = self.handler.limits
-        limit_s = limits.header_s if self.reading_head else limits.idle_s
-        left_s = self.last_at + limit_s - self.loop.time()
-        if left_s > 0 or self.queue or self.current is not None:
-            wait_s = max(left_s, 1)
-            self.timer = self.loop.call_later(wait_s, self._check_time)
-        elif self.reading_head:
-            self.reading_head = False
-            self._reject(HTTP_TIMEOUT, 'head came too slowly')
-        else:
-            self._close()
+
+def _encode(pending: PendingAnswer, *, closes: bool, idle_s: int) -> bytes:
+    response = pending.response or Response(HTTP_INTERNAL)
+    head = response_head(response, closes=closes, keep_alive_s=idle_s)
+    return head if pending.head.method == b'HEAD' else head + response.body
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -100,22 +100,29 @@
     ) -> Placed | None:
         best = None
         lowest = float('inf')
-        place_s = PLACE_COST_PART * self.times.cold_s
-        for place, load in enumerate(order[start:end]):
-            if not load.usable(self.now, idempotent=self.idempotent):
-                continue
-            if self._is_full(load):
+        for place, load in enumerate(order[start:end], start):
+            if not self._takes(load):
                 continue
             placed = self._expect(load)
-            cost = placed.expected_s + place * place_s
-            if place == 0 and start == 0 and not placed.warm:
-                # Other hosts send the object here as well.
-                cost -= self.times.cold_s - self.times.warm_s
+            cost = self._cost(placed, place)
             if cost < lowest:
                 best = placed
                 lowest = cost
         return best
 
+    def _takes(self, load: UpstreamLoad) -> bool:
+        if self._is_full(load):
+            return False
+        return load.usable(self.now, idempotent=self.idempotent)
+
+    def _cost(self, placed: Placed, place: int) -> float:
+        """Return the expected time with the cost of the place."""
+        cost = placed.expected_s + place * PLACE_COST_PART * self.times.cold_s
+        if place == 0 and not placed.warm:
+            # Other hosts send the object here as well.
+            cost -= self.times.cold_s - self.times.warm_s
+        return cost
+
     def _expect(self, load: UpstreamLoad) -> Placed:
         warm = load.is_warm(self.object_key, self.now)
         work_s = self.times.expected_s(warm=warm)
--- a/egretmill/shares/accounts.py
+++ b/egretmill/shares/accounts.py
@@ -90,11 +90,11 @@
         self,
         share: FleetShare,
         loans: LoanBook,
-        tolerance: Tolerance = Tolerance(),
+        tolerance: Tolerance | None = None,
     ) -> None:
         self.share = share
         self.loans = loans
-        self.tolerance = tolerance
+        self.tolerance = tolerance or Tolerance()
         self.states: dict[str, AccountState] = {}
 
     def apply(self, accounts: Mapping[str, ClientAccount], now: float) -> None:
@@ -102,12 +102,13 @@
         for name in self.states.keys() - accounts.keys():
             self.states.pop(name)
         for name, account in accounts.items():
-            if not account.limited:
-                self.states.pop(name, None)
-            elif name in self.states:
-                self.states[name].account = account
-            else:
+            known = self.states.get(name)
+            if account.limited and known is None:
                 self.states[name] = AccountState(account, TokenBucket(now))
+            elif account.limited:
+                known.account = account
+            else:
+                self.states.pop(name, None)
 
     def refresh(self, now: float) -> None:
         """Let tokens accrue for accounts without requests as well."""
--- a/egretmill/shares/loans.py
+++ b/egretmill/shares/loans.py
@@ -53,6 +53,26 @@
         self.ends = [row for row in self.ends if row[1] > now]
         return max((fraction for fraction, _ in self.ends), default=0)
 
+    def extend(
+        self,
+        shortage: Shortage,
+        spare: float,
+        lenders: int,
+        now: float,
+    ) -> float:
+        """Answer a shortage; return the fraction.
+
+        :param spare: what the lender can do without beyond this loan.
+        :param lenders: hosts that can lend to the borrower.
+        """
+        step = (shortage.need - shortage.held) * STEP / max(lenders, 1)
+        wanted = max(self.current + step, 0)
+        fraction = min(wanted, self.bound(now) + max(spare, 0))
+        if fraction < LEAST:
+            fraction = 0
+        self.grant(fraction, now)
+        return fraction
+
     def grant(self, fraction: float, now: float) -> None:
         """Answer with a fraction."""
         self.current = fraction
@@ -111,44 +131,19 @@
         """
         for account in self._accounts_of(borrower).difference(shortages):
             self.lent[account][borrower].grant(0, now)
-        return {
-            account: fraction
-            for account, shortage in shortages.items()
-            if (
-                fraction := self._grant(
-                    borrower,
-                    account,
-                    shortage,
-                    spare.get(account, 0),
-                    lenders,
-                    now,
-                )
-            )
-        }
+        granted = {}
+        for name, shortage in shortages.items():
+            row = self.lent.setdefault(name, {}).setdefault(borrower, Lent())
+            fraction = row.extend(shortage, spare.get(name, 0), lenders, now)
+            if fraction:
+                granted[name] = fraction
+        return granted
 
     def forget(self, hosts: Iterable[str]) -> None:
         """Drop the borrowed parts of hosts that have gone."""
         for host in hosts:
             self.borrowed.pop(host, None)
 
-    def _grant(
-        self,
-        borrower: str,
-        account: str,
-        shortage: Shortage,
-        spare: float,
-        lenders: int,
-        now: float,
-    ) -> float:
-        row = self.lent.setdefault(account, {}).setdefault(borrower, Lent())
-        step = (shortage.need - shortage.held) * STEP / max(lenders, 1)
-        wanted = max(row.current + step, 0)
-        fraction = min(wanted, row.bound(now) + max(spare, 0))
-        if fraction < LEAST:
-            fraction = 0
-        row.grant(fraction, now)
-        return fraction
-
     def _accounts_of(self, borrower: str) -> set[str]:
         return {
             account
--- /dev/null
+++ b/tests/host/test_exchange.py
@@ -0,0 +1,202 @@
+"""Attempts at scripted upstreams: what callers get, what ran."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+from result import Err, Ok
+
+from egretmill.errors import ErrorKind, Outcome
+from egretmill.host.exchange import Exchange
+from egretmill.host.intake import accept
+from egretmill.host.program import BootLoop
+from egretmill.http1 import Body
+from tests.host.fakes import make_head, make_state, upstream
+
+SIGNED = b'X-Signature: s\r\n'
+NOT_RUN = b'X-Not-Run: 1\r\n'
+
+
+class Pending:
+    """A request whose caller waits."""
+
+    def __init__(self, head, content):
+        self.head = head
+        self.body = Body.from_bytes(content)
+        self.gone = False
+
+
+class ScriptedUpstream:
+    """Answers each request with the next of a list and keeps the heads."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.heads = []
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.heads.append(head)
+                answer = self.answers.pop(0) if self.answers else None
+                if answer is None:
+                    await reader.read()
+                    return
+                if answer == b'':
+                    writer.transport.abort()
+                    return
+                writer.write(answer)
+
+
+def response(status=200, headers=SIGNED, body=b'yes'):
+    """Return the bytes of a response to the request id1."""
+    return b''.join(
+        (
+            b'HTTP/1.1 %d X\r\nX-Request-Id: id1\r\n' % status,
+            headers,
+            b'Content-Length: %d\r\n\r\n' % len(body),
+            body,
+        ),
+    )
+
+
+async def exchange(scripts, path=b'/r/1', method=b'GET', content=b''):
+    """Run a request; return its end and the number of requests sent."""
+    async with contextlib.AsyncExitStack() as stack:
+        records = []
+        for number, script in enumerate(scripts):
+            server = await asyncio.start_server(script.serve, '127.0.0.1', 0)
+            stack.callback(server.close)
+            port = server.sockets[0].getsockname()[1]
+            records.append(upstream(f'u{number}', port))
+        state = make_state(*records)
+        head = make_head(path, method)
+        request = accept(head, state, random.Random(1)).ok_value
+        ended = await Exchange(state, Pending(head, content), request).run()
+    return ended, sum(len(script.heads) for script in scripts)
+
+
+def run(*scripts, **options):
+    """Run a request on the loop of the program."""
+    with asyncio.Runner(loop_factory=BootLoop) as runner:
+        return runner.run(exchange(scripts, **options))
+
+
+def two(*answers):
+    """Return two upstreams that give the same answers."""
+    return ScriptedUpstream(*answers), ScriptedUpstream(*answers)
+
+
+def test_answer_comes_back_unchanged():
+    """Guards against a changed status, body or signature."""
+    ended, sent = run(ScriptedUpstream(response()))
+    answer = ended.ok_value
+    assert (answer.status, answer.body, sent) == (200, b'yes', 1)
+    assert answer.fields[b'x-signature'] == b's'
+
+
+def test_upstream_gets_account_target_and_time_but_no_key():
+    """Guards against keys at upstreams and requests for another one."""
+    script = ScriptedUpstream(response())
+    run(script)
+    head = script.heads[0].lower()
+    assert b'authorization' not in head
+    assert b'x-account: acct' in head
+    assert b'x-target: u0' in head
+    left = int(head.partition(b'x-deadline-ms: ')[2].split(b'\r\n')[0])
+    assert 0 < left <= 800
+
+
+@pytest.mark.parametrize('spoiled', [b'', response()[:-1] + b'', b'junk\r\n'])
+def test_request_that_runs_once_is_never_sent_again(spoiled):
+    """Guards against an instalment that is taken twice."""
+    scripts = two(spoiled, response())
+    ended, sent = run(*scripts, path=b'/o/1', method=b'POST', content=b'x')
+    assert isinstance(ended, Err)
+    assert sent == 1
+    assert ended.err_value.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize('spoiled', [b'', b'junk\r\n\r\n', response(500)])
+def test_idempotent_request_is_sent_to_another_upstream(spoiled):
+    """Guards against failures that a second attempt would heal."""
+    scripts = two(spoiled, response())
+    ended, sent = run(*scripts)
+    # Each upstream spoils its first answer: two attempts are the limit.
+    assert sent == 2
+    first = ScriptedUpstream(spoiled)
+    second = ScriptedUpstream(response())
+    ended, _ = run(first, second)
+    if first.heads:
+        assert (ended.ok_value.status, len(second.heads)) == (200, 1)
+
+
+@pytest.mark.parametrize('status', [503, 429, 421])
+def test_rejected_request_may_go_elsewhere_and_is_said_not_to_have_run(status):
+    """Guards against a false "not run", and against giving up early."""
+    rejected = response(status, NOT_RUN)
+    ended, sent = run(*two(rejected), path=b'/o/1', method=b'POST')
+    assert sent == 2
+    assert ended.err_value.outcome is Outcome.NOT_RUN
+
+
+def test_rejection_without_the_mark_may_have_run():
+    """Guards against a promise that the upstream has not made."""
+    ended, sent = run(*two(response(503)), path=b'/o/1', method=b'POST')
+    assert (ended.ok_value.status, sent) == (503, 1)
+
+
+def test_unsigned_success_is_no_success():
+    """Guards against bytes that no upstream of the service has made."""
+    scripts = two(response(headers=b''))
+    ended, _ = run(*scripts, path=b'/o/1', method=b'POST')
+    assert ended.err_value.kind is ErrorKind.UPSTREAM_FAILED
+
+
+def test_upstreams_own_failure_is_passed_on():
+    """Guards against a failure that loses its signature on the way."""
+    ended, sent = run(*two(response(500)))
+    assert (ended.ok_value.status, sent) == (500, 2)
+    assert ended.ok_value.fields[b'x-signature'] == b's'
+
+
+def test_silent_upstream_ends_at_the_deadline():
+    """Guards against answers later than the route's timeout."""
+    ended, _ = run(ScriptedUpstream(), path=b'/o/1', method=b'POST')
+    assert isinstance(ended, Err)
+    assert ended.err_value.kind is ErrorKind.UPSTREAM_TIMEOUT
+    assert ended.err_value.outcome is Outcome.UNKNOWN
+
+
+def test_unreachable_upstreams_say_not_run():
+    """Guards against an unknown outcome where nothing was sent."""
+
+    async def refused():
+        state = make_state(upstream(port=1))
+        head = make_head(b'/o/1', b'POST')
+        request = accept(head, state, random.Random(1)).ok_value
+        return await Exchange(state, Pending(head, b''), request).run()
+
+    with asyncio.Runner(loop_factory=BootLoop) as runner:
+        ended = runner.run(refused())
+    assert ended.err_value.outcome is Outcome.NOT_RUN
+
+
+def test_success_after_a_retry_is_within_the_budget():
+    """Guards against retries beyond the fleet's budget."""
+
+    async def no_budget():
+        state = make_state()
+        state.budget.allowance = 0
+        return state.budget.allows('svc', state.now())
+
+    with asyncio.Runner(loop_factory=BootLoop) as runner:
+        assert not runner.run(no_budget())
+
+
+def test_end_types():
+    """Guards against an exchange that ends with neither answer nor error."""
+    ended, _ = run(ScriptedUpstream(response()))
+    assert isinstance(ended, Ok)
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -15,6 +15,8 @@
 
 NOW = 100.0
 SLOTS = 4
+#: Requests in flight with which an upstream gets no more.
+FULL = 10
 
 
 def record(name, slots=SLOTS, region='west'):
@@ -54,23 +56,42 @@
 def test_object_moves_on_when_its_upstream_is_busy():
     """Guards against a queue at one upstream while others idle."""
     order = loads()
-    occupy(order[0], 2 * SLOTS)
+    occupy(order[0], FULL)
     assert chosen(order) == 'u1'
 
 
 def test_warm_upstream_is_worth_a_short_wait():
     """Guards against leaving a warm upstream for a cold one too early."""
     order = loads()
-    order[1].handled('o', 0.1, 0.1, NOW)
-    occupy(order[1], SLOTS + 1)
-    assert chosen(order) == 'u1'
+    occupy(order[0], FULL)
+    order[2].handled('o', 0.1, 0.1, NOW)
+    occupy(order[2], SLOTS + 1)
+    assert chosen(order) == 'u2'
+
+
+def test_object_stays_at_its_home_for_a_short_queue():
+    """Guards against cold requests elsewhere: others keep the home warm."""
+    order = loads()
+    occupy(order[0], SLOTS + 1)
+    assert chosen(order) == 'u0'
+
+
+def test_new_upstream_gets_its_objects():
+    """Guards against upstreams that join and get nothing.
+
+    All others are warm for all objects then.
+    """
+    order = loads()
+    for load in order[1:]:
+        load.handled('o', 0.1, 0.1, NOW)
+    assert chosen(order) == 'u0'
 
 
 def test_load_of_other_hosts_counts():
     """Guards against sending where other hosts have filled the slots."""
     order = loads()
     for _ in range(8):
-        order[0].take_report(LoadReport(SLOTS, SLOTS, SLOTS), NOW)
+        order[0].take_report(LoadReport(SLOTS, FULL, SLOTS), NOW)
     assert chosen(order) == 'u1'
 
 
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,76 @@
+"""The settings file that the platform fills in."""
+
+import pytest
+from adapter.settings import load_settings
+from result import Err
+
+FILE = """
+[host]
+name = "edge-1"
+address = "10.0.0.1"
+failure_domain = "west-a"
+region = "west"
+room = 0.86
+
+[listen]
+entry = "10.0.0.1:8686"
+readiness = "10.0.0.1:8680"
+directory = "10.0.0.1:8684"
+metrics = 9109
+peers = 7740
+
+[store]
+address = "10.200.1.7:8682"
+
+[regions]
+"west-a" = "west"
+
+[bounds]
+Revoke = "5000ms"
+FailClosed = "true"
+QuotaOverage = "0.1"
+Grace = "6s"
+Unknown = "x"
+"""
+
+
+def load(tmp_path, text):
+    """Load settings from a text."""
+    path = tmp_path / 'host.toml'
+    path.write_text(text)
+    return load_settings(path)
+
+
+def test_settings_are_read(tmp_path):
+    """Guards against a bound that is left at its default."""
+    loaded = load(tmp_path, FILE).ok_value
+    assert loaded.host.entry.port == 8686
+    assert loaded.store.address == '10.200.1.7'
+    assert loaded.host.bounds.revoke_s == 5
+    assert loaded.host.bounds.fail_closed is True
+    assert loaded.host.bounds.limit_part == pytest.approx(0.1)
+    assert loaded.host.regions == {'west-a': 'west'}
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'place'),
+    [
+        ('name = "edge-1"', 'name = ""', '$.host.name'),
+        ('room = 0.86', 'room = 0', '$.host.room'),
+        ('peers = 7740', 'peers = 77400', '$.listen.peers'),
+        ('"10.0.0.1:8686"', '"8686"', '$.listen.entry'),
+        ('"5000ms"', '"5000"', '$.bounds.Revoke'),
+        ('"true"', '"yes"', '$.bounds.FailClosed'),
+        ('[store]', '[store', '$'),
+    ],
+)
+def test_broken_settings_name_the_place(tmp_path, old, new, place):
+    """Guards against a host that starts with settings it cannot keep."""
+    loaded = load(tmp_path, FILE.replace(old, new))
+    assert isinstance(loaded, Err)
+    assert [problem.path for problem in loaded.err_value] == [place]
+
+
+def test_missing_file_is_a_problem(tmp_path):
+    """Guards against a stack trace in place of a message."""
+    assert isinstance(load_settings(tmp_path / 'none.toml'), Err)
--- a/tests/shares/test_loans.py
+++ b/tests/shares/test_loans.py
@@ -1,5 +1,6 @@
 """Loans between hosts."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -35,7 +36,7 @@
     """Guards against a lender whose own callers are refused."""
     lender = LoanBook()
     loans = lender.lend('b', SHORT, {'acct': 0.05}, 1, NOW)
-    assert loans['acct'] == 0.05
+    assert loans['acct'] == pytest.approx(0.05)
     assert lender.lend('c', SHORT, {'acct': 0}, 1, NOW) == {}
 
 
@@ -44,12 +45,12 @@
     borrower = LoanBook()
     borrower.take('a', {'acct': 0.1}, asked_at=NOW)
     borrower.take('a', {'acct': 0.4}, asked_at=NOW - 0.5)
-    assert borrower.borrowed_in('acct', NOW) == 0.1
+    assert borrower.borrowed_in('acct', NOW) == pytest.approx(0.1)
 
 
 def test_spare_keeps_a_reserve_and_the_own_need():
     """Guards against lending what the next second needs."""
-    assert spare_fraction(0.5, 0, 0) == 0.4
+    assert spare_fraction(0.5, 0, 0) == pytest.approx(0.4)
     assert spare_fraction(0.5, 0.1, 0.2) < 0.5 - 0.1 - 0.2
     assert spare_fraction(0.5, 0, 1) == 0
 
--- a/tests/shares/test_roster.py
+++ b/tests/shares/test_roster.py
@@ -1,5 +1,6 @@
 """The owned part of fleet-wide limits."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -30,7 +31,7 @@
     share.joined(NOW, LEASE_S, new=True)
     assert share.fraction(NOW + LEASE_S) == 0
     share.proof.confirm(NOW + LEASE_S)
-    assert share.fraction(NOW + LEASE_S + 1) == 0.5
+    assert share.fraction(NOW + LEASE_S + 1) == pytest.approx(0.5)
 
 
 def test_new_host_starts_when_all_others_know_it():
@@ -39,7 +40,7 @@
     share.read(('a', 'b'), NOW, NOW)
     share.joined(NOW, LEASE_S, new=True)
     share.confirmed(NOW + 0.5)
-    assert share.fraction(NOW + 0.5) == 0.5
+    assert share.fraction(NOW + 0.5) == pytest.approx(0.5)
 
 
 def test_restarted_host_waits_for_the_end_of_its_loans():
@@ -49,22 +50,22 @@
     share.joined(NOW, 1.0, new=False)
     share.confirmed(NOW + 0.1)
     assert share.fraction(NOW + 0.9) == 0
-    assert share.fraction(NOW + 1.3) == 0.5
+    assert share.fraction(NOW + 1.3) == pytest.approx(0.5)
 
 
 def test_part_of_a_removed_host_is_taken_over_late():
     """Guards against two users of one part: the removed host may live."""
     share = share_of('a', ('a', 'b'))
     share.read(('a',), NOW, NOW)
-    assert share.fraction(NOW + LEASE_S) == 0.5
+    assert share.fraction(NOW + LEASE_S) == pytest.approx(0.5)
     share.proof.confirm(NOW + LEASE_S + 1)
-    assert share.fraction(NOW + LEASE_S + 1) == 1.0
+    assert share.fraction(NOW + LEASE_S + 1) == pytest.approx(1.0)
 
 
 def test_outdated_roster_halves_the_part():
     """Guards against hosts that have missed a new one."""
     share = share_of('a', ('a', 'b'))
-    assert share.fraction(NOW + LEASE_S + 0.1) == 0.25
+    assert share.fraction(NOW + LEASE_S + 0.1) == pytest.approx(0.25)
 
 
 def test_host_outside_the_roster_has_no_part():
