Use no share of the rates with an outdated roster

Cause: a generated sequence (remove, then three joins unseen by one host) added up to 1.083 of the whole: an outdated host used half of a share that it had enlarged after a removal. Change: no share after the lease where keyed requests are refused without the store anyway; half where serving goes on. The property now covers removed hosts too.

--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -198,7 +198,8 @@
         await self.wait_quiet(now + grace_s * ACCEPTING_PART)
         listening.close()
         for connection in tuple(self.handler.connections):
-            connection.close_if_idle()
+            if not connection.serving and not connection.reader.reading_head:
+                connection.end()
         ends_at = now + grace_s * ENDING_PART
         while self.handler.connections and self.state.now() < ends_at:
             await asyncio.sleep(SHUTDOWN_POLL_S)
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -19,7 +19,7 @@
 from egretmill.placement.retries import RetryBudget
 from egretmill.shares.accounts import AccountLimits, Tolerance
 from egretmill.shares.loans import LoanBook
-from egretmill.shares.roster import FleetShare
+from egretmill.shares.roster import OUTDATED_PART, FleetShare
 
 __all__ = ('HostState',)
 
@@ -62,7 +62,8 @@
     ) -> 'HostState':
         """Build the state of a host that knows nothing yet."""
         bounds = settings.bounds
-        share = FleetShare(settings.name)
+        outdated_part = 0 if bounds.fail_closed else OUTDATED_PART
+        share = FleetShare(settings.name, outdated_part=outdated_part)
         loans = LoanBook()
         tolerance = Tolerance(
             bounds.limit_requests * TOLERANCE_USED_PART,
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -217,10 +217,9 @@
             self.write(LAST_CHUNK)
 
     def _is_foreign(self, response: Response) -> bool:
-        expects = self.call.expects if self.call is not None else None
-        if expects is None:
+        if self.call is None or self.call.expects is None:
             return False
-        name, text = expects
+        name, text = self.call.expects
         found = response.fields.get(name.lower())
         if found is None:
             # The first response on a connection can only be to its request.
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -280,11 +280,6 @@
         if len(self.queue) < PIPELINE_LIMIT:
             self.set_reading(reads=True)
 
-    def close_if_idle(self) -> None:
-        """Close a connection on which nothing is being served."""
-        if not self.serving and not self.reader.reading_head:
-            self.end()
-
     def end(self) -> None:
         """Take no more requests and close."""
         self.closing = True
--- a/egretmill/shares/roster.py
+++ b/egretmill/shares/roster.py
@@ -12,14 +12,16 @@
 
 from egretmill.fleet.freshness import Proof
 
-__all__ = ('LEASE_S', 'FleetShare')
+__all__ = ('LEASE_S', 'OUTDATED_PART', 'FleetShare')
 
-#: Knowledge of the roster that is older than this counts for half: another
-#: host may have joined meanwhile. Longer than the wait of a store read.
+#: Knowledge of the roster that is older than this is outdated: another host
+#: may have joined meanwhile. Longer than the wait of a store read.
 LEASE_S = 6.0
 #: Clocks of hosts run at slightly different rates.
 MARGIN_S = 0.2
-#: Part of the owned fraction that is used with outdated knowledge.
+#: Part of the owned fraction that is used with outdated knowledge where
+#: serving goes on without the store. Two hosts out of step add up to more
+#: than one whole only if the fleet has more than doubled unseen.
 OUTDATED_PART = 0.5
 
 
@@ -40,6 +42,8 @@
 
     :param host: name of this host.
     :param active_at: boot time from which the own part is used.
+    :param outdated_part: part of the fraction that is used with outdated
+        knowledge; with 0, no two hosts ever add up to more than one whole.
     :param new: the own entry did not exist before.
     """
 
@@ -48,6 +52,7 @@
     proof: Proof = dataclasses.field(default_factory=Proof)
     active_at: float = math.inf
     new: bool = False
+    outdated_part: float = 0
     former: list[FormerRoster] = dataclasses.field(default_factory=list)
 
     def joined(self, now: float, wait_s: float, *, new: bool) -> None:
@@ -97,5 +102,5 @@
             return 0
         owned = 1 / self.size(now)
         if self.proof.age(now) > LEASE_S:
-            return owned * OUTDATED_PART
+            return owned * self.outdated_part
         return owned
--- a/tests/shares/test_accounts.py
+++ b/tests/shares/test_accounts.py
@@ -7,6 +7,7 @@
 
 from egretmill.fleet.configuration import ClientAccount
 from egretmill.shares.accounts import (
+    TOKEN_WAIT_S,
     AccountLimits,
     Admitted,
     Limited,
@@ -116,7 +117,7 @@
     host = fleet()[0]
     admitted = host.limits.admit(ACCOUNT, NOW + 0.01, patience_s=1)
     assert isinstance(admitted, Admitted)
-    assert 0 < admitted.wait_s <= 0.15
+    assert 0 < admitted.wait_s <= TOKEN_WAIT_S
 
 
 def test_refusal_tells_when_there_is_a_token():
--- a/tests/shares/test_roster.py
+++ b/tests/shares/test_roster.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretmill.shares.roster import LEASE_S, FleetShare
+from egretmill.shares.roster import LEASE_S, OUTDATED_PART, FleetShare
 
 NOW = 1000.0
 
@@ -62,9 +62,16 @@
     assert share.fraction(NOW + LEASE_S + 1) == pytest.approx(1.0)
 
 
-def test_outdated_roster_halves_the_part():
+def test_outdated_roster_ends_the_part():
     """Guards against hosts that have missed a new one."""
     share = share_of('a', ('a', 'b'))
+    assert not share.fraction(NOW + LEASE_S + 0.1)
+
+
+def test_outdated_roster_halves_the_part_where_serving_goes_on():
+    """Guards against refusing everybody in a long outage of the store."""
+    share = share_of('a', ('a', 'b'))
+    share.outdated_part = OUTDATED_PART
     assert share.fraction(NOW + LEASE_S + 0.1) == pytest.approx(0.25)
 
 
@@ -73,11 +80,23 @@
     assert share_of('x', ('a', 'b')).fraction(NOW) == 0
 
 
-def fractions(shares, roster, now):
-    """Return the parts of the hosts in the roster."""
-    return [
-        share.fraction(now) for name, share in shares.items() if name in roster
-    ]
+def step(shares, roster, action, name, now):
+    """Add a host, remove one, or let one read the roster."""
+    if action == 'add' and name not in shares:
+        roster.add(name)
+        shares[name] = joining(name, roster, now)
+    elif action == 'remove' and len(roster) > 1:
+        roster.discard(name)
+    elif shares.get(name):
+        shares[name].read(roster, now, now)
+
+
+def joining(name, roster, now):
+    """Return the part of a host that has just written its entry."""
+    share = FleetShare(name)
+    share.joined(now, LEASE_S, new=True)
+    share.read(roster, now, now)
+    return share
 
 
 @settings(max_examples=200, deadline=None)
@@ -92,25 +111,12 @@
     ),
 )
 def test_parts_never_exceed_the_whole(steps):
-    """Guards against any order of joins, removals and late reads.
-
-    A removed host that reads nothing any more may use half of its old
-    part; that is inside the tolerance of the users' limit.
-    """
+    """Guards against any order of joins, removals and late reads."""
     now = NOW
-    names = [f'h{number}' for number in range(6)]
     roster = {'h0', 'h1'}
     shares = {name: share_of(name, roster) for name in roster}
     for wait_s, action, index in steps:
         now += wait_s
-        name = names[index]
-        if action == 'add' and name not in roster and name not in shares:
-            roster.add(name)
-            shares[name] = FleetShare(name)
-            shares[name].joined(now, LEASE_S, new=True)
-            shares[name].read(roster, now, now)
-        elif action == 'remove' and len(roster) > 1:
-            roster.discard(name)
-        elif shares.get(name):
-            shares[name].read(roster, now, now)
-        assert sum(fractions(shares, roster, now)) <= 1 + 1e-9
+        step(shares, roster, action, f'h{index}', now)
+        parts = [share.fraction(now) for share in shares.values()]
+        assert sum(parts) <= 1 + 1e-9
