Refuse requests that would wait too long for a slot

Cause: placement sent up to 2.5 requests a slot whatever the target latency. Ruled out: processor time of the hosts (0.22 cores at most), rejections by upstreams (3). Change: a request waits for a slot no longer than its target leaves, or a fifth of the target; at most two requests a slot.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     'ledger',
     'lookups',
     'membership',
+    'placing',
     'routing',
     'shares',
 )
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -138,6 +138,7 @@
             accepted.object_key,
             settings.region,
             self.times,
+            accepted.route.target_latency_s,
             self.left_s,
             accepted.route.idempotent,
             self.state.now(),
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -21,7 +21,9 @@
 PLACE_COST_PART = 0.04
 #: Requests per slot up to which an upstream gets more. Upstreams queue three
 #: times their slots; what waits there cannot be placed elsewhere any more.
-FULL_FACTOR = 2.5
+FULL_FACTOR = 2.0
+#: Part of the target latency that a request may wait for a slot at least.
+PATIENCE_PART = 0.2
 #: Time between this host and an upstream in another region and back.
 REGION_TRIP_S = 0.04
 #: Work of a stalled upstream counts this many times.
@@ -33,12 +35,14 @@
     """The chosen upstream.
 
     :param expected_s: expected time to the response.
+    :param wait_s: the part of it that the request waits for a slot.
     :param warm: it has handled the object lately.
     :param free: it has a free slot by what this host knows.
     """
 
     load: UpstreamLoad
     expected_s: float
+    wait_s: float
     work_s: float
     warm: bool
     free: bool
@@ -66,12 +70,14 @@
     """What a request needs from an upstream.
 
     :param region: region of this host.
+    :param target_s: a response within it is worth most.
     :param left_s: time left until the response is of no use.
     """
 
     object_key: str
     region: str
     times: WorkTimes
+    target_s: float
     left_s: float
     idempotent: bool
     now: float
@@ -88,9 +94,8 @@
             best = self._best(order, COMPARED, len(order))
         if best is None:
             return self._none(order)
-        if self._is_late(best):
-            return Crowded(best.expected_s - self.left_s)
-        return best
+        excess_s = self._excess_s(best)
+        return Crowded(excess_s) if excess_s > 0 else best
 
     def _best(
         self,
@@ -134,18 +139,28 @@
             slowness *= STALL_COST
         trip_s = 0 if load.record.region == self.region else REGION_TRIP_S
         expected_s = (work_s + wait_s) * slowness + trip_s
-        return Placed(load, expected_s, work_s + trip_s, warm, ahead == 0)
-
-    def _is_late(self, placed: Placed) -> bool:
-        """Tell whether the response would be of no use.
-
-        The work of a single request is not known beforehand, so a free slot
-        is tried unless even a quick request would be late.
+        return Placed(
+            load,
+            expected_s,
+            wait_s * slowness,
+            work_s + trip_s,
+            warm,
+            ahead == 0,
+        )
+
+    def _excess_s(self, placed: Placed) -> float:
+        """Return by how much the wait for a slot is too long.
+
+        Under lasting overload a longer queue serves no more requests, it
+        only makes all of them late. A request without a wait is sent even
+        if its work may exceed the target, which is not known beforehand.
         """
-        needed_s = placed.expected_s
-        if placed.free:
-            needed_s = min(needed_s, self.times.warm_s)
-        return needed_s > self.left_s
+        patience_s = max(
+            self.target_s * PATIENCE_PART,
+            self.target_s - self.times.warm_s,
+        )
+        late_s = self.times.warm_s + placed.wait_s - self.left_s
+        return max(placed.wait_s - patience_s, late_s)
 
     def _is_full(self, load: UpstreamLoad) -> bool:
         bound = FULL_FACTOR * max(load.record.slots, 1)
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -32,7 +32,7 @@
 def placement(left_s=2.0, idempotent=True):
     """Return a request for an object."""
     times = WorkTimes(warm_s=0.1, cold_s=0.3)
-    return Placement('o', 'west', times, left_s, idempotent, NOW)
+    return Placement('o', 'west', times, 0.3, left_s, idempotent, NOW)
 
 
 def chosen(order, **options):
@@ -101,7 +101,7 @@
     for _ in range(20):
         order[0].handled('x', 2.0, 0.3, NOW)
     assert chosen(order) == 'u1'
-    later = Placement('o', 'west', WorkTimes(0.1, 0.3), 2, True, NOW + 60)
+    later = Placement('o', 'west', WorkTimes(0.1, 0.3), 0.3, 2, True, NOW + 60)
     assert later.choose(order).load is order[0]
 
 
@@ -143,7 +143,7 @@
 def test_free_slot_is_tried_when_the_work_is_not_known():
     """Guards against refusing a route whose requests were never seen."""
     times = WorkTimes(warm_s=0.5, cold_s=5)
-    request = Placement('o', 'west', times, 1.2, True, NOW)
+    request = Placement('o', 'west', times, 0.3, 1.2, True, NOW)
     assert isinstance(request.choose(loads()), Placed)
 
 
