Let few hosts own the rate of a small account; others ask for tokens

Loans of rates do not help, because bursts are smaller than a token. Change: an account has as many owners as its burst has groups of four tokens, three at least; other hosts ask an owner for the token of a request over UDP. The owner takes it before it answers, so nothing is granted twice; owners follow from the roster and its leases, as parts did.

--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -6,7 +6,7 @@
 from egretmill import events
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
-from egretmill.peers.beat import Beat
+from egretmill.peers.beat import Beat, Datagram, TokenAnswer, TokenAsk
 from egretmill.peers.link import PeerLink
 from egretmill.peers.table import Peer
 from egretmill.shares.loans import Shortage
@@ -30,6 +30,7 @@
     ) -> None:
         self.state = state
         self.on_difference = on_difference
+        self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.alive: frozenset[str] = frozenset()
 
@@ -39,8 +40,9 @@
         self.link = await PeerLink.open(
             settings.address,
             settings.peer_port,
-            self.hear,
+            self.receive,
         )
+        self.tokens.link = self.link
         try:
             while True:
                 self.tick()
@@ -130,6 +132,18 @@
             spare[account] = min(spare[account], max(held - lent, 0))
         return loans
 
+    def receive(self, datagram: Datagram, address: tuple[str, int]) -> None:
+        """Take a datagram of a peer."""
+        match datagram:
+            case Beat() as beat:
+                self.hear(beat, address)
+            case TokenAsk() as ask:
+                answer = self.tokens.answer(ask)
+                if self.link is not None:
+                    self.link.send(answer, address)
+            case TokenAnswer() as answer:
+                self.tokens.take(answer)
+
     def hear(self, beat: Beat, address: tuple[str, int]) -> None:
         """Learn from a beat."""
         state = self.state
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -104,6 +104,12 @@
             return Refusal.not_run(failure)
         patience_s = self.left_s - self.times.warm_s
         admitted = state.accounts.admit(account, state.now(), patience_s)
+        if isinstance(admitted, Limited):
+            admitted = await state.tokens.borrow(
+                account.name,
+                admitted,
+                patience_s,
+            )
         if isinstance(admitted, Limited):
             held = state.accounts.held(account.name, state.now())
             detail = f'{held:.3f} of {account.rate_per_s:g}/s held here'
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -12,6 +12,7 @@
 from egretmill.host.dialect import Dialect
 from egretmill.host.metrics import HostMetrics
 from egretmill.host.settings import HostSettings
+from egretmill.host.tokens import TokenDesk
 from egretmill.host.upstreams import UpstreamPool
 from egretmill.http1 import ConnectionLimits
 from egretmill.peers.table import PeerTable
@@ -48,6 +49,7 @@
     peers: PeerTable
     budget: RetryBudget
     pool: UpstreamPool
+    tokens: TokenDesk
     work: dict[str, WorkTimes] = dataclasses.field(default_factory=dict)
     incarnation: int = 0
     leaving: bool = False
@@ -77,6 +79,8 @@
             settings.region,
         )
         knowledge.on_upstream = pool.update
+        accounts = AccountLimits(share, loans, tolerance)
+        peers = PeerTable(settings.name)
         return cls(
             settings,
             dialect,
@@ -84,13 +88,14 @@
             knowledge,
             share,
             loans,
-            AccountLimits(share, loans, tolerance),
-            PeerTable(settings.name),
+            accounts,
+            peers,
             RetryBudget(
                 part=bounds.retry_part * RETRY_PLANNED_PART,
                 window_s=bounds.retry_window_s,
             ),
             pool,
+            TokenDesk(accounts, peers, settings.region, boot_time),
         )
 
     @property
--- a/egretmill/peers/beat.py
+++ b/egretmill/peers/beat.py
@@ -1,16 +1,23 @@
-"""The datagram that hosts send each other (msgpack, fields without names)."""
+"""Datagrams that hosts send each other (msgpack, fields without names)."""
 
 import msgspec
 from result import Err, Ok, Result
 
 from egretmill.errors import ErrorKind, Failure
 
-__all__ = ('Beat', 'decode_beat', 'encode_beat')
+__all__ = (
+    'Beat',
+    'Datagram',
+    'TokenAnswer',
+    'TokenAsk',
+    'decode_datagram',
+    'encode_datagram',
+)
 
 Fractions = dict[str, float]
 
 
-class Beat(msgspec.Struct, frozen=True, array_like=True):
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag='beat'):
     """State of a host, with answers to the receiver's last beat.
 
     Ages and boot times are in seconds. New fields go to the end and have
@@ -43,16 +50,40 @@
     room: float = 1
 
 
+class TokenAsk(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
+    """Asks an owner for a token of a client account.
+
+    :param number: names the question in its answer.
+    """
+
+    host: str
+    number: int
+    account: str
+
+
+class TokenAnswer(msgspec.Struct, frozen=True, array_like=True, tag='answer'):
+    """Answers a question for a token.
+
+    :param granted: the owner has taken a token from its part.
+    :param wait_s: when the token may be used, or when to ask again.
+    """
+
+    number: int
+    granted: bool
+    wait_s: float
+
+
+Datagram = Beat | TokenAsk | TokenAnswer
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Beat)
+DECODER = msgspec.msgpack.Decoder(Datagram)
 
 
-def encode_beat(beat: Beat) -> bytes:
-    """Return the bytes of a beat."""
-    return ENCODER.encode(beat)
+def encode_datagram(datagram: Datagram) -> bytes:
+    """Return the bytes of a datagram."""
+    return ENCODER.encode(datagram)
 
 
-def decode_beat(datagram: bytes) -> Result[Beat, Failure]:
+def decode_datagram(datagram: bytes) -> Result[Datagram, Failure]:
     """Read a datagram; one that is damaged or foreign is an error."""
     try:
         return Ok(DECODER.decode(datagram))
--- a/egretmill/peers/link.py
+++ b/egretmill/peers/link.py
@@ -1,4 +1,4 @@
-"""Sends and receives beats over UDP.
+"""Sends and receives datagrams between hosts.
 
 Plain datagrams in place of pynng: one round trip of it costs more processor
 time than a whole HTTP answer (docs/decisions/machines.md).
@@ -12,19 +12,23 @@
 
 from egretmill import events
 from egretmill.logs import log_event
-from egretmill.peers.beat import Beat, decode_beat, encode_beat
+from egretmill.peers.beat import (
+    Datagram,
+    decode_datagram,
+    encode_datagram,
+)
 
 __all__ = ('PeerLink',)
 
-#: Called with a beat and the address that it came from.
-Listener = Callable[[Beat, tuple[str, int]], None]
+#: Called with a datagram and the address that it came from.
+Listener = Callable[[Datagram, tuple[str, int]], None]
 
 
 class PeerLink(asyncio.DatagramProtocol):
     """One UDP socket for all peers."""
 
     def __init__(self, listener: Listener) -> None:
-        """Pass received beats to a listener."""
+        """Pass received datagrams to a listener."""
         self.listener = listener
         self.transport: asyncio.DatagramTransport | None = None
 
@@ -48,8 +52,8 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Decode a beat."""
-        decoded = decode_beat(data)
+        """Decode a datagram."""
+        decoded = decode_datagram(data)
         if isinstance(decoded, Err):
             log_event(
                 events.CATALOGUE.MALFORMED_FRAME,
@@ -63,10 +67,10 @@
         """Log an unreachable peer; its silence shows in the table."""
         log_event(events.CATALOGUE.PEER_UNREACHABLE, error=str(exc))
 
-    def send(self, beat: Beat, address: tuple[str, int]) -> None:
-        """Send a beat."""
+    def send(self, datagram: Datagram, address: tuple[str, int]) -> None:
+        """Send a datagram."""
         if self.transport is not None:
-            self.transport.sendto(encode_beat(beat), address)
+            self.transport.sendto(encode_datagram(datagram), address)
 
     def close(self) -> None:
         """Close the socket."""
--- a/egretmill/shares/accounts.py
+++ b/egretmill/shares/accounts.py
@@ -7,7 +7,7 @@
 from egretmill.fleet.configuration import ClientAccount
 from egretmill.shares.bucket import Share, TokenBucket
 from egretmill.shares.loans import LoanBook, Shortage, spare_fraction
-from egretmill.shares.roster import FleetShare
+from egretmill.shares.roster import FleetShare, owners_of
 
 __all__ = ('AccountLimits', 'Admitted', 'Limited', 'Tolerance')
 
@@ -16,6 +16,11 @@
 #: A request waits at most this long for its token; a rate that is split over
 #: hosts refuses requests for want of a part of a token otherwise.
 TOKEN_WAIT_S = 0.15
+#: Least burst that an owner of an account holds: with less, most requests
+#: meet an empty bucket although others have tokens.
+BURST_PER_OWNER = 4.0
+#: Least number of owners, so that the loss of one costs a part only.
+LEAST_OWNERS = 3
 #: Demand above this part of what is held is a shortage.
 SHORT_PART = 0.8
 #: A shortage asks for this multiple of the demand.
@@ -73,6 +78,13 @@
         age_s = now - self.demand_at
         return self.demand_per_s * math.exp(-age_s / DEMAND_S)
 
+    @property
+    def owners(self) -> int:
+        """Return how many hosts divide the rate."""
+        return max(
+            math.ceil(self.account.burst / BURST_PER_OWNER), LEAST_OWNERS
+        )
+
     def need(self, now: float) -> float:
         """Return the demand as a fraction of the account's rate."""
         return self.demand(now) / self.account.rate_per_s
@@ -130,11 +142,23 @@
             return Admitted()
         state.note_demand(now)
         self._fill(state, now)
-        wait_s = state.bucket.reserve(1, min(patience_s, TOKEN_WAIT_S))
-        if wait_s is not None:
-            return Admitted(wait_s)
-        missing_s = state.bucket.wait_s(1)
-        return Limited(TOKEN_WAIT_S if missing_s is None else missing_s)
+        return _take(state, min(patience_s, TOKEN_WAIT_S))
+
+    def grant(self, name: str, now: float) -> Admitted | Limited:
+        """Take a token for a request at another host."""
+        state = self.states.get(name)
+        if state is None:
+            return Limited(TOKEN_WAIT_S)
+        self._fill(state, now)
+        return _take(state, TOKEN_WAIT_S)
+
+    def lenders(self, name: str, now: float) -> tuple[str, ...]:
+        """Return the hosts that may have a token; none where all divide."""
+        state = self.states.get(name)
+        if state is None or self._is_spread(state, now):
+            return ()
+        owners = owners_of(name, state.owners, self.share.members)
+        return tuple(host for host in owners if host != self.share.host)
 
     def give_back(self, account: ClientAccount, now: float) -> None:
         """Return the token of a request that was not sent."""
@@ -147,6 +171,8 @@
         """Return the accounts of which this host needs more."""
         found = {}
         for name, state in self.states.items():
+            if not self._is_spread(state, now):
+                continue
             need = state.need(now)
             held = self.held(name, now)
             borrowed = self.loans.borrowed_in(name, now)
@@ -164,20 +190,37 @@
                 state.need(now),
             )
             for name, state in self.states.items()
+            if self._is_spread(state, now)
         }
 
     def held(self, name: str, now: float) -> float:
         """Return the fraction of an account's limit at hand."""
-        owned = self.share.fraction(now)
+        state = self.states.get(name)
+        if state is None:
+            return 0
+        owned = self.share.part(name, state.owners, now)
         lent = self.loans.lent_out(name, now)
         return max(owned - lent, 0) + self.loans.borrowed_in(name, now)
 
+    def _is_spread(self, state: AccountState, now: float) -> bool:
+        """Tell whether all hosts divide the rate, and lend parts of it."""
+        return state.owners >= self.share.size(now)
+
     def _fill(self, state: AccountState, now: float) -> None:
         state.bucket.advance(now)
         fraction = self.held(state.account.name, now)
         part = 0.0
         if fraction > 0:
-            part = self.tolerance.requests / self.share.size(now)
+            divided = min(state.owners, self.share.size(now))
+            part = self.tolerance.requests / divided
         rate = state.account.rate_per_s * (1 + self.tolerance.part)
         capacity = state.account.burst * fraction + part
         state.bucket.change(Share(rate * fraction, capacity))
+
+
+def _take(state: AccountState, patience_s: float) -> Admitted | Limited:
+    wait_s = state.bucket.reserve(1, patience_s)
+    if wait_s is not None:
+        return Admitted(wait_s)
+    missing_s = state.bucket.wait_s(1)
+    return Limited(TOKEN_WAIT_S if missing_s is None else missing_s)
--- a/egretmill/shares/roster.py
+++ b/egretmill/shares/roster.py
@@ -7,12 +7,15 @@
 """
 
 import dataclasses
+import functools
 import math
 from collections.abc import Iterable
 
+import xxhash
+
 from egretmill.fleet.freshness import Proof
 
-__all__ = ('LEASE_S', 'OUTDATED_PART', 'FleetShare')
+__all__ = ('LEASE_S', 'OUTDATED_PART', 'FleetShare', 'owners_of')
 
 #: Knowledge of the roster that is older than this is outdated: another host
 #: may have joined meanwhile. Longer than the wait of a store read.
@@ -23,16 +26,18 @@
 #: serving goes on without the store. Two hosts out of step add up to more
 #: than one whole only if the fleet has more than doubled unseen.
 OUTDATED_PART = 0.5
+#: Sets of owners that are kept: one for each account and recent roster.
+OWNERS_KEPT = 2048
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FormerRoster:
-    """A larger roster that still binds.
+    """An earlier roster that still binds.
 
-    :param until: boot time at which its members have lapsed.
+    :param until: boot time at which its lost members have lapsed.
     """
 
-    size: int
+    members: frozenset[str]
     until: float
 
 
@@ -86,21 +91,60 @@
             return False
         if self.members - named:
             until = now + LEASE_S + MARGIN_S
-            self.former.append(FormerRoster(len(self.members), until))
+            self.former.append(FormerRoster(self.members, until))
         self.members = named
         return True
 
     def size(self, now: float) -> int:
         """Return the number of hosts that may use a part."""
+        return max(1, *(len(members) for members in self.binding(now)))
+
+    def binding(self, now: float) -> list[frozenset[str]]:
+        """Return the rosters that bind: this one and those not yet lapsed."""
         self.former = [row for row in self.former if row.until > now]
-        sizes = [row.size for row in self.former]
-        return max(len(self.members), *sizes, 1)
+        return [self.members, *(row.members for row in self.former)]
 
     def fraction(self, now: float) -> float:
         """Return the owned fraction now, 0 before the own part is active."""
+        return self._in_force(1 / self.size(now), now)
+
+    def part(self, name: str, owners: int, now: float) -> float:
+        """Return the owned fraction of a limit that few hosts divide.
+
+        :param name: of the limit; decides which hosts own it.
+        :param owners: wanted number of owners.
+        """
+        rosters = self.binding(now)
+        if any(
+            self.host not in owners_of(name, owners, members)
+            for members in rosters
+        ):
+            return 0
+        most = max(min(owners, len(members)) for members in rosters)
+        return self._in_force(1 / max(most, 1), now)
+
+    def _in_force(self, owned: float, now: float) -> float:
         if self.host not in self.members or now < self.active_at:
             return 0
-        owned = 1 / self.size(now)
         if self.proof.age(now) > LEASE_S:
             return owned * self.outdated_part
         return owned
+
+
+@functools.lru_cache(maxsize=OWNERS_KEPT)
+def owners_of(
+    name: str,
+    owners: int,
+    members: frozenset[str],
+) -> tuple[str, ...]:
+    """Return the hosts that own a limit: the first by rendezvous hashing.
+
+    A host that joins replaces at most one owner and moves no other.
+    """
+    if owners >= len(members):
+        return tuple(sorted(members))
+    scored = sorted(
+        (xxhash.xxh3_64_intdigest(f'{host}/{name}'.encode()), host)
+        for host in members
+    )
+    return tuple(host for _, host in scored[:owners])
--- a/tests/peers/test_table.py
+++ b/tests/peers/test_table.py
@@ -8,8 +8,8 @@
     Beat,
     PeerTable,
     beat_interval_s,
-    decode_beat,
-    encode_beat,
+    decode_datagram,
+    encode_datagram,
 )
 
 NOW = 10.0
@@ -38,14 +38,14 @@
 
 def test_beat_survives_the_wire():
     """Guards against fields that are read in another order."""
-    assert decode_beat(encode_beat(beat())).ok_value == beat()
+    assert decode_datagram(encode_datagram(beat())).ok_value == beat()
 
 
 def test_damaged_and_foreign_datagrams_are_errors():
     """Guards against a datagram that ends the program."""
     foreign = msgspec.msgpack.encode({'kind': 'foreign'})
-    for datagram in (b'', b'\xc1', encode_beat(beat())[:-3], foreign):
-        assert isinstance(decode_beat(datagram), Err)
+    for datagram in (b'', b'\xc1', encode_datagram(beat())[:-3], foreign):
+        assert isinstance(decode_datagram(datagram), Err)
 
 
 def test_silent_host_counts_as_gone():
--- a/tests/shares/test_roster.py
+++ b/tests/shares/test_roster.py
@@ -4,7 +4,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from egretmill.shares.roster import LEASE_S, OUTDATED_PART, FleetShare
+from egretmill.shares.roster import (
+    LEASE_S,
+    OUTDATED_PART,
+    FleetShare,
+    owners_of,
+)
 
 NOW = 1000.0
 
@@ -99,6 +104,24 @@
     return share
 
 
+def test_few_owners_divide_a_small_limit():
+    """Guards against parts of less than a token."""
+    members = [f'h{number}' for number in range(32)]
+    shares = [share_of(name, members) for name in members]
+    parts = [share.part('acct', 3, NOW) for share in shares]
+    assert sorted(parts)[-4:] == pytest.approx([0, 1 / 3, 1 / 3, 1 / 3])
+
+
+def test_joining_host_moves_one_owner_at_most():
+    """Guards against rates that are idle after each join."""
+    members = frozenset(f'h{number}' for number in range(10))
+    for account in range(20):
+        name = f'a{account}'
+        before = set(owners_of(name, 3, members))
+        after = set(owners_of(name, 3, members | {'new'}))
+        assert len(before - after) <= 1
+
+
 @settings(max_examples=200, deadline=None)
 @given(
     st.lists(
@@ -120,3 +143,6 @@
         step(shares, roster, action, f'h{index}', now)
         parts = [share.fraction(now) for share in shares.values()]
         assert sum(parts) <= 1 + 1e-9
+        for name in ('a', 'b', 'c'):
+            few = [share.part(name, 2, now) for share in shares.values()]
+            assert sum(few) <= 1 + 1e-9
