Ask the store less often where peers prove that knowledge is current

Change: the roster is read while its proof is older than 3 s only; peers with younger, different knowledge lead to a look at once.

--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -15,6 +15,8 @@
 
 #: An answer to an older beat proves nothing any more.
 LONGEST_ROUND_TRIP_S = 3.0
+#: Least time between two looks for changes that peers know of, in seconds.
+LOOK_S = 0.2
 
 
 class Beats:
@@ -33,6 +35,7 @@
         self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.alive: frozenset[str] = frozenset()
+        self.looked_at = 0.0
 
     async def run(self) -> None:
         """Send beats until cancelled."""
@@ -151,8 +154,9 @@
         if not state.peers.hear(beat, address, now):
             return
         same = beat.knowledge == state.knowledge_digest()
-        if not same:
-            self.on_difference()
+        same_roster = beat.roster == state.roster_digest()
+        if not (same and same_roster):
+            self.note_difference(beat, now)
         asked_at = beat.answers
         if not 0 < now - asked_at < LONGEST_ROUND_TRIP_S:
             return
@@ -160,10 +164,21 @@
         if same and beat.knowledge_age >= 0:
             proved_at = asked_at - beat.knowledge_age
             state.knowledge.configuration_proof.confirm(proved_at)
-        if beat.roster == state.roster_digest() and beat.roster_age >= 0:
+        if same_roster and beat.roster_age >= 0:
             state.share.proof.confirm(asked_at - beat.roster_age)
         self.confirm_share(now)
 
+    def note_difference(self, beat: Beat, now: float) -> None:
+        """Look for changes if the peer's knowledge is the younger."""
+        knowledge_age = self.state.knowledge.configuration_proof.age(now)
+        roster_age = self.state.share.proof.age(now)
+        younger = (
+            beat.knowledge_age < knowledge_age or beat.roster_age < roster_age
+        )
+        if younger and now - self.looked_at > LOOK_S:
+            self.looked_at = now
+            self.on_difference()
+
     def confirm_share(self, now: float) -> None:
         """Use the own part once every member is known to know the roster."""
         share = self.state.share
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -33,7 +33,7 @@
 #: seconds.
 BACKLOG = 1024
 #: Pace of the watch of the roster: half its lease.
-ROSTER_PACE = WatchPace(wait_s=2.5)
+ROSTER_PACE = WatchPace(wait_s=0, pause_s=0.2, fresh_s=3.0)
 #: A leaving host takes connections for this part of the grace; callers use
 #: an answer of the directory for some seconds.
 ACCEPTING_PART = 0.6
@@ -107,6 +107,7 @@
                 ROSTER_TABLE,
                 self.keeper,
                 ROSTER_PACE,
+                proof=state.share.proof,
             ),
         ]
 
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from egretmill import events
-from egretmill.fleet.freshness import boot_time
+from egretmill.fleet.freshness import Proof, boot_time
 from egretmill.logs import log_event
 from egretmill.tables.ports import (
     Changes,
@@ -25,6 +25,8 @@
 #: First and longest pause after a failed call, in seconds.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
+#: A shorter rest is not worth a wake-up, in seconds.
+LEAST_REST_S = 0.1
 
 
 class TableListener(Protocol):
@@ -49,10 +51,13 @@
 
     :param wait_s: longest wait of a call for a change.
     :param pause_s: time between the start of two calls.
+    :param fresh_s: no call while the copy is proved to be younger, which
+        peers can do as well.
     """
 
     wait_s: float
     pause_s: float = 0
+    fresh_s: float = 0
 
 
 class TableWatch:
@@ -69,7 +74,9 @@
         listener: TableListener,
         pace: WatchPace,
         now: Callable[[], float] = boot_time,
+        proof: Proof | None = None,
     ) -> None:
+        self.proof = proof
         self.store = store
         self.table = table
         self.listener = listener
@@ -88,6 +95,7 @@
             sent_at = self.now()
             if self.take(await self.fetch(), sent_at):
                 await self.rest(sent_at + self.pace.pause_s - self.now())
+                await self.rest_while_fresh()
             elif self.failures:
                 doubled_s = FIRST_PAUSE_S * 2 ** min(self.failures - 1, 4)
                 pause_s = min(doubled_s, LONGEST_PAUSE_S)
@@ -108,6 +116,19 @@
         except TimeoutError:
             return
 
+    async def rest_while_fresh(self) -> None:
+        """Wait while others prove that the copy is current."""
+        if self.proof is None or self.poked.is_set():
+            return
+        left_s = self.pace.fresh_s - self.proof.age(self.now())
+        while left_s > 0:
+            await self.rest(left_s * self.rng.uniform(0.8, 1))
+            if self.poked.is_set():
+                return
+            left_s = self.pace.fresh_s - self.proof.age(self.now())
+            if left_s < LEAST_REST_S:
+                return
+
     async def fetch(self) -> Result[Snapshot | Changes, StoreFailure]:
         """Make the next call."""
         if self.position is None:
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok
 
+from egretmill.fleet.freshness import Proof
 from egretmill.tables import (
     Changes,
     Snapshot,
@@ -148,3 +149,29 @@
     watch.poke()
     await asyncio.wait((task,), timeout=1)
     assert store.calls == ['read', 'after 1']
+
+
+async def test_no_call_while_peers_prove_the_copy():
+    """Guards against a store that every host asks all the time."""
+    store = Script(Ok(Snapshot((), 1)), Ok(Changes((), 1)))
+    proof = Proof()
+    pace = WatchPace(0, fresh_s=30)
+    watch = TableWatch(store, 't', Listener(), pace, store.now, proof)
+    proof.confirm(1.0)
+    task = asyncio.create_task(watch.run())
+    await asyncio.sleep(0.02)
+    assert store.calls == ['read']
+    watch.poke()
+    await asyncio.wait((task,), timeout=0.1)
+    assert store.calls[:2] == ['read', 'after 1']
+    task.cancel()
+
+
+async def test_outdated_copy_is_read_again():
+    """Guards against trusting peers that prove nothing any more."""
+    store = Script(Ok(Snapshot((), 1)), Ok(Changes((), 1)))
+    pace = WatchPace(0, fresh_s=3)
+    watch = TableWatch(store, 't', Listener(), pace, store.now, Proof())
+    task = asyncio.create_task(watch.run())
+    await asyncio.wait((task,), timeout=1)
+    assert store.calls == ['read', 'after 1', 'after 1']
