--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -39,8 +39,9 @@
 ACCEPTING_PART = 0.6
 #: ... and leaves without callers for this time earlier, in seconds.
 QUIET_S = 1.5
-#: Part of the grace after which requests that still run are cut.
-ENDING_PART = 0.95
+#: Part of the grace after which requests that still run are cut; the rest is
+#: for the end of the process on a slowed machine.
+ENDING_PART = 0.9
 SHUTDOWN_POLL_S = 0.05
 
 
