--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -21,6 +21,7 @@
     'HISTORY_KEY',
     'HISTORY_LENGTH',
     'MAX_DOCUMENT_BYTES',
+    'PROMOTION_LIMIT_S',
     'CurrentVersion',
     'PlatformStore',
     'Promoted',
--- a/egretmill/entry/state.py
+++ b/egretmill/entry/state.py
@@ -27,6 +27,9 @@
 
 #: Most requests that wait for admission.
 QUEUE_CAPACITY = 1000
+#: Retries of a service in a window that need no recent requests: a part of
+#: few requests is less than one retry for each request in flight.
+LEAST_RETRIES = 3
 # Load reports are read for sites that got a request within this time.
 IN_USE_S = 10.0
 UPSTREAM_POLICY = 'least-load-latency'
@@ -59,7 +62,7 @@
         self.holdings = Holdings(settings.name, incarnation)
         self.limits = ShareLimits(self.holdings)
         self.table = UpstreamTable()
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(allowance=LEAST_RETRIES)
         self.tasks: set[asyncio.Task[None]] = set()
         #: Set when a request was refused for lack of a share.
         self.short = asyncio.Event()
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -130,14 +130,15 @@
                 return
 
     async def fetch(self) -> Result[Snapshot | Changes, StoreFailure]:
-        """Make the next call."""
+        """Make the next call.
+
+        The first one after a failure does not wait for a change, because
+        its answer is the first proof after an outage.
+        """
         if self.position is None:
             return await self.store.read(self.table)
-        return await self.store.changes(
-            self.table,
-            self.position,
-            self.pace.wait_s,
-        )
+        wait_s = 0 if self.failures else self.pace.wait_s
+        return await self.store.changes(self.table, self.position, wait_s)
 
     def take(
         self,
--- a/tests/document/test_promotion_http.py
+++ b/tests/document/test_promotion_http.py
@@ -7,7 +7,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
-from egretmill.document.promotion import Promoter
+from egretmill.document.promotion import PROMOTION_LIMIT_S, Promoter
 from egretmill.errors import ErrorKind
 from egretmill.store import StoreClient
 from standins.platform import Faults, Platform, make_application
@@ -52,6 +52,7 @@
 @pytest.mark.parametrize('lost', [1, 2, 3])
 async def test_lost_answers(place, lost):
     """Guards against a promotion that an HTTP answer decides alone."""
+    place.promoter.limit_s = PROMOTION_LIMIT_S
     place.platform.faults = Faults(lose_answers=lost)
     promoted = await place.promote(SECOND, 1, 'attempt-2')
     assert promoted.unwrap().version == 2
@@ -59,6 +60,7 @@
 
 async def test_race_over_http(place):
     """Guards against conflicts that the adapter does not pass on."""
+    place.promoter.limit_s = PROMOTION_LIMIT_S
     outcomes = await asyncio.gather(
         place.promote(SECOND, 1, 'attempt-2'),
         place.promote(SECOND, 1, 'attempt-3'),
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -2,6 +2,7 @@
 
 import pytest
 import asyncio
+import contextlib
 import dataclasses
 
 from result import Err, Ok
@@ -47,6 +48,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = []
+        self.waits = []
         self.time = 0.0
 
     def now(self):
@@ -59,6 +61,7 @@
 
     async def changes(self, table, after, wait_s):
         """Answer a question for changes."""
+        self.waits.append(wait_s)
         return self.next(f'after {after}')
 
     def next(self, call):
@@ -127,6 +130,19 @@
     assert watch.returned_at == pytest.approx(4.0)
 
 
+async def test_first_call_after_a_failure_does_not_wait():
+    """Guards against an outage that lasts longer for want of a change."""
+    store = Script(
+        Ok(Snapshot((), 1)),
+        failure(StoreProblem.UNAVAILABLE),
+        Ok(Changes((), 1)),
+    )
+    watch = TableWatch(store, 't', Listener(), WatchPace(9), store.now)
+    with contextlib.suppress(asyncio.CancelledError):
+        await watch.run()
+    assert store.waits == [9, 0, 9]
+
+
 async def test_older_state_changes_nothing():
     """Guards against a copy that goes back to an older version."""
     _, listener, watch = await follow(
