--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -109,17 +109,19 @@
         worker = await asyncio.start_server(self.worker.serve, ADDRESS, 0)
         stack.callback(worker.close)
         sockets = [bind_unused_port() for _ in NAMES]
-        for name, (sock, port) in zip(NAMES, sockets, strict=True):
-            self.ports[name] = port
-            sock.close()
+        self.ports = {
+            name: free[1] for name, free in zip(NAMES, sockets, strict=True)
+        }
+        for free in sockets:
+            free[0].close()
         settings = SETTINGS.format(store=store_port, **self.ports)
         self.path.write_text(settings)
         self.store.put('op', 'config', configuration(1, ['k1']))
         # An entry of an earlier run: the host need not wait for a lease.
         entry = {'address': ADDRESS, 'port': self.ports['peers']}
         self.store.put('egretmill-roster', 'h1', json.dumps(entry).encode())
-        port = worker.sockets[0].getsockname()[1]
-        self.store.put('servers', 'w1', worker_row(port))
+        address = worker.sockets[0].getsockname()
+        self.store.put('servers', 'w1', worker_row(address[1]))
 
     async def start(self):
         """Start the process and wait until it is ready."""
