--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Mapping
 
-import xxhash
 from result import Ok, Result
 
 from egretmill.fleet.configuration import Service
@@ -12,7 +11,7 @@
 from egretmill.http1 import CallFailure, ClientConnection, connect
 from egretmill.placement.load import UpstreamLoad
 from egretmill.placement.rendezvous import rendezvous_order
-from egretmill.shares.roster import FleetShare
+from egretmill.shares.roster import FleetShare, owners_of
 
 __all__ = ('UpstreamPool',)
 
@@ -91,14 +90,7 @@
 
     def cold_rate(self, upstream: Upstream, service: Service) -> float:
         """Return the requests per second that this host may send it."""
-        members = sorted(self.share.members)
-        scored = sorted(
-            members,
-            key=lambda host: xxhash.xxh3_64_intdigest(
-                f'{host}/{upstream.name}'.encode(),
-            ),
-        )
-        owners = scored[:COLD_OWNERS]
+        owners = owners_of(upstream.name, COLD_OWNERS, self.share.members)
         if self.share.host not in owners:
             return 0
         return service.cold_per_s / len(owners)
