Leave a slow upstream only if another attempt follows

Ruled out: the end of the grace (2.4 s after SIGTERM of 6), a broken connection (the trace shows the server at work). Change: when patience ends, the host first takes the retry from the budget and checks that another upstream would take the request; else it waits on. A host that leaves never breaks off.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Iterator
 
 from result import Err, Ok, Result
 
@@ -21,6 +20,7 @@
     PendingAnswer,
     Response,
 )
+from egretmill.http1.messages import Header
 from egretmill.logs import log_event
 from egretmill.placement import Crowded, Placed, Placement, Unplaced, WorkTimes
 from egretmill.shares.accounts import Limited
@@ -51,6 +51,7 @@
 
     :param maybe_run: an upstream may have run the request.
     :param sending: the request is at an upstream now.
+    :param moving: another attempt is paid for from the budget.
     :param tried: upstreams that got the request.
     """
 
@@ -59,6 +60,7 @@
     accepted: Accepted
     maybe_run: bool = False
     sending: bool = False
+    moving: bool = False
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     failed_response: Response | None = None
@@ -132,6 +134,22 @@
                 return self._give_up(ended.err_value)
 
     def _place(self) -> Result[Placed, Refusal]:
+        match self._choose():
+            case Placed() as placed:
+                _log_placed(self, placed)
+                return Ok(placed)
+            case Crowded(wait_s):
+                failure = Failure(
+                    ErrorKind.OVERLOADED,
+                    self.accepted.service,
+                )
+                return Err(Refusal.not_run(failure, wait_s))
+            case Unplaced(detail):
+                failure = Failure(ErrorKind.NO_UPSTREAM, detail)
+                return Err(Refusal.not_run(failure))
+
+    def _choose(self) -> Placed | Crowded | Unplaced:
+        """Choose among the upstreams that have not had the request."""
         accepted = self.accepted
         settings = self.state.settings
         order = self.state.pool.order(
@@ -150,16 +168,7 @@
             self.state.now(),
         )
         untried = [row for row in order if row.record.name not in self.tried]
-        match placement.choose(untried):
-            case Placed() as placed:
-                self._log_placed(placed)
-                return Ok(placed)
-            case Crowded(wait_s):
-                failure = Failure(ErrorKind.OVERLOADED, accepted.service)
-                return Err(Refusal.not_run(failure, wait_s))
-            case Unplaced(detail):
-                failure = Failure(ErrorKind.NO_UPSTREAM, detail)
-                return Err(Refusal.not_run(failure))
+        return placement.choose(untried)
 
     async def _attempt(self, placed: Placed) -> Result[Response, Refusal]:
         """Send the request to an upstream and learn from the end."""
@@ -181,24 +190,13 @@
         if verdict.report is not None:
             load.take_report(verdict.report, now)
         if verdict.ran:
-            self._learn(placed, now - started_at)
+            _learn(self, placed, now - started_at)
         self.maybe_run = self.maybe_run or verdict.maybe_run
         if verdict.response is not None:
             return Ok(verdict.response)
         self.failed_response = verdict.failed_response
         return Err(verdict.refusal or self._timed_out())
 
-    def _learn(self, placed: Placed, took_s: float) -> None:
-        work_s = max(took_s, LEAST_LEFT_S)
-        if placed.free:
-            self.times.add(work_s, warm=placed.warm)
-        placed.load.handled(
-            self.accepted.object_key,
-            took_s,
-            placed.expected_s,
-            self.state.now(),
-        )
-
     async def _call(self, placed: Placed) -> Result[Response, CallFailure]:
         idempotent = self.accepted.route.idempotent
         record = placed.load.record
@@ -218,69 +216,78 @@
         call = Call(
             head.method,
             head.target,
-            list(self._headers(record.name, now)),
+            _headers(self, record.name, now),
             self.pending.body,
-            self._attempt_ends_at(placed, now),
+            self.accepted.deadline_at,
             (self.state.dialect.request_id, self.accepted.request_id),
             head.fields.get(b'content-length'),
         )
+        timer = asyncio.get_running_loop().call_at(
+            now + max(placed.expected_s * IMPATIENCE, LEAST_ATTEMPT_S),
+            self._lose_patience,
+            connection,
+        )
         self.sending = True
-        ended = await connection.send(call)
+        try:
+            ended = await connection.send(call)
+        finally:
+            timer.cancel()
         self.sending = False
         self.state.pool.release(placed.load, connection)
         return ended
 
-    def _headers(
-        self,
-        upstream: str,
-        now: float,
-    ) -> Iterator[tuple[bytes, bytes]]:
-        left_ms = max(int((self.accepted.deadline_at - now) * 1000), 1)
-        return headers.for_upstream(
-            self.pending.head,
-            self.state.dialect,
-            headers.Added(upstream, self.accepted.account_name, left_ms),
-        )
+    def _lose_patience(self, connection: ClientConnection) -> None:
+        """Leave a slow upstream if another attempt follows.
 
-    def _attempt_ends_at(self, placed: Placed, now: float) -> float:
-        deadline_at = self.accepted.deadline_at
-        route = self.accepted.route
-        if not route.idempotent or self.attempts >= route.max_attempts:
-            return deadline_at
-        patience_s = max(placed.expected_s * IMPATIENCE, LEAST_ATTEMPT_S)
-        impatient_at = now + patience_s
-        if impatient_at + self.times.cold_s > deadline_at:
-            return deadline_at
-        return impatient_at
+        Breaking off without one would only lose the response. A host that
+        leaves lets what runs come to its end.
+        """
+        if self.state.leaving or not self.accepted.route.idempotent:
+            return
+        if self.left_s < self.times.cold_s or not self._repeatable():
+            return
+        if isinstance(self._choose(), Placed) and self._take_retry('slow'):
+            self.moving = True
+            connection.expire()
 
-    def _may_retry(self, refusal: Refusal) -> bool:
-        """Decide on another attempt after a failed one."""
-        route = self.accepted.route
-        if self.maybe_run and not route.idempotent:
-            return False
-        if not self.pending.body.replayable and self.attempts:
-            return False
-        if self.left_s < self.times.warm_s or self.pending.gone:
-            return False
-        if not self.attempts:
-            # Nothing was sent: a failed connection is no arrival.
-            return True
-        if self.attempts >= route.max_attempts:
+    def _repeatable(self) -> bool:
+        """Tell whether attempts and body allow another attempt."""
+        if self.attempts >= self.accepted.route.max_attempts:
             return False
+        return self.pending.body.replayable
+
+    def _take_retry(self, reason: str) -> bool:
+        """Take an attempt from the fleet's budget."""
         service = self.accepted.service
         allowed = self.state.budget.allows(service, self.state.now())
         self.state.metrics.retries.labels(service, str(allowed)).inc()
         log_event(
             events.CATALOGUE.REQUEST_RETRIED,
             request_id=self.accepted.request_id.decode('latin-1'),
-            kind=refusal.kind.value,
-            detail=refusal.detail,
+            reason=reason,
             attempt=self.attempts,
             allowed=allowed,
             left_ms=int(self.left_s * 1000),
         )
         return allowed
 
+    def _may_retry(self, refusal: Refusal) -> bool:
+        """Decide on another attempt after a failed one."""
+        paid = self.moving
+        self.moving = False
+        if self.maybe_run and not self.accepted.route.idempotent:
+            return False
+        if self.left_s < self.times.warm_s or self.pending.gone:
+            return False
+        if not self.attempts:
+            # Nothing was sent: a failed connection is no arrival.
+            return True
+        if paid:
+            return True
+        if not self._repeatable():
+            return False
+        return self._take_retry(f'{refusal.kind.value}: {refusal.detail}')
+
     def _give_up(self, refusal: Refusal) -> Result[Response, Refusal]:
         if self.failed_response is not None:
             return Ok(self.failed_response)
@@ -298,23 +305,52 @@
         failure = Failure(ErrorKind.QUEUE_TIMEOUT, 'deadline before sending')
         return Refusal.not_run(failure)
 
-    def _log_placed(self, placed: Placed) -> None:
-        load = placed.load
-        now = self.state.now()
-        log_event(
-            events.CATALOGUE.REQUEST_ROUTED,
-            request_id=self.accepted.request_id.decode('latin-1'),
-            account=self.accepted.account_name,
-            service=self.accepted.service,
-            upstream=load.record.name,
-            domain=load.record.failure_domain,
-            attempt=self.attempts + 1,
-            version=self.accepted.version,
-            knowledge_age_s=round(self.state.knowledge.keyed_age(), 3),
-            load=round(load.load(now), 1),
-            report_age_s=round(min(now - load.reported_at, 999), 3),
-            slots=load.record.slots,
-            warm=placed.warm,
-            expected_ms=int(placed.expected_s * 1000),
-            left_ms=int(self.left_s * 1000),
-        )
+
+def _learn(exchange: Exchange, placed: Placed, took_s: float) -> None:
+    """Learn work and slowness from a response."""
+    if placed.free:
+        exchange.times.add(max(took_s, LEAST_LEFT_S), warm=placed.warm)
+    placed.load.handled(
+        exchange.accepted.object_key,
+        took_s,
+        placed.expected_s,
+        exchange.state.now(),
+    )
+
+
+def _headers(exchange: Exchange, upstream: str, now: float) -> list[Header]:
+    """Return the headers of an attempt."""
+    accepted = exchange.accepted
+    left_ms = max(int((accepted.deadline_at - now) * 1000), 1)
+    added = headers.Added(upstream, accepted.account_name, left_ms)
+    return list(
+        headers.for_upstream(
+            exchange.pending.head,
+            exchange.state.dialect,
+            added,
+        ),
+    )
+
+
+def _log_placed(exchange: Exchange, placed: Placed) -> None:
+    """Write the decision with its inputs and their age."""
+    accepted = exchange.accepted
+    load = placed.load
+    now = exchange.state.now()
+    log_event(
+        events.CATALOGUE.REQUEST_ROUTED,
+        request_id=accepted.request_id.decode('latin-1'),
+        account=accepted.account_name,
+        service=accepted.service,
+        upstream=load.record.name,
+        domain=load.record.failure_domain,
+        attempt=exchange.attempts + 1,
+        version=accepted.version,
+        knowledge_age_s=round(exchange.state.knowledge.keyed_age(), 3),
+        load=round(load.load(now), 1),
+        report_age_s=round(min(now - load.reported_at, 999), 3),
+        slots=load.record.slots,
+        warm=placed.warm,
+        expected_ms=int(placed.expected_s * 1000),
+        left_ms=int(exchange.left_s * 1000),
+    )
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -130,7 +130,7 @@
         self.call = call
         self.waiter = waiter
         self.sent = False
-        timer = self.loop.call_at(call.deadline_at, self._expire)
+        timer = self.loop.call_at(call.deadline_at, self.expire)
         writing = self._start(call)
         try:
             return await waiter
@@ -184,6 +184,11 @@
         self.keep_s = _keep_alive_s(response)
         self.waiter.set_result(Ok(response))
 
+    def expire(self) -> None:
+        """Fail the call: no response came in time."""
+        self._fail(FailureCause.TIMEOUT, 'no response in time')
+        self.abort()
+
     def malformed(self, detail: str) -> None:
         """Fail the call: what arrives is no response."""
         self._fail(FailureCause.MALFORMED, detail)
@@ -232,10 +237,6 @@
         self._fail(FailureCause.FOREIGN, 'response to another request')
         self.abort()
 
-    def _expire(self) -> None:
-        self._fail(FailureCause.TIMEOUT, 'no response in time')
-        self.abort()
-
     def _fail(self, cause: FailureCause, detail: str) -> None:
         self.reusable = False
         if self.waiter is None or self.waiter.done():
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -12,6 +12,7 @@
 from egretmill.host.intake import accept
 from egretmill.host.program import BootLoop
 from egretmill.http1 import Body
+from egretmill.placement import WorkTimes
 from tests.host.fakes import make_head, make_state, upstream
 
 SIGNED = b'X-Signature: s\r\n'
@@ -30,8 +31,9 @@
 class ScriptedUpstream:
     """Answers each request with the next of a list and keeps the heads."""
 
-    def __init__(self, *answers):
+    def __init__(self, *answers, delay_s=0):
         self.answers = list(answers)
+        self.delay_s = delay_s
         self.heads = []
 
     def count(self):
@@ -51,6 +53,7 @@
                 if answer == b'':
                     writer.transport.abort()
                     return
+                await asyncio.sleep(self.delay_s)
                 writer.write(answer)
 
 
@@ -66,7 +69,17 @@
     )
 
 
-async def exchange(scripts, path=b'/r/1', method=b'GET', content=b''):
+def keep(state):
+    """Leave a state as it is."""
+
+
+async def exchange(
+    scripts,
+    path=b'/r/1',
+    method=b'GET',
+    content=b'',
+    change=keep,
+):
     """Run a request; return its end and the number of requests sent."""
     async with contextlib.AsyncExitStack() as stack:
         records = []
@@ -76,6 +89,7 @@
             port = server.sockets[0].getsockname()[1]
             records.append(upstream(f'u{number}', port))
         state = make_state(*records)
+        change(state)
         head = make_head(path, method)
         request = accept(head, state, random.Random(1)).ok_value
         ended = await Exchange(state, Pending(head, content), request).run()
@@ -204,3 +218,51 @@
     """Guards against an exchange that ends with neither answer nor error."""
     ended, _ = run(ScriptedUpstream(response()))
     assert isinstance(ended, Ok)
+
+
+def expect_quick(state):
+    """Let the host expect responses within milliseconds."""
+    state.work['reads'] = WorkTimes(0.01, 0.02)
+
+
+def without_retries(state):
+    """Use up the budget."""
+    expect_quick(state)
+    state.budget.allowance = -100
+
+
+def leaving(state):
+    """Let the host leave."""
+    expect_quick(state)
+    state.leaving = True
+
+
+@pytest.mark.parametrize('change', [without_retries, leaving])
+def test_slow_response_is_awaited_when_no_other_attempt_follows(change):
+    """Guards against breaking off work and answering 502 in its place.
+
+    Hunt, krc-rota trouble-2 --seed 211494912629: LOST after SIGTERM.
+    """
+    scripts = [
+        ScriptedUpstream(response(), delay_s=0.4),
+        ScriptedUpstream(response(), delay_s=0.4),
+    ]
+    ended, sent = run(*scripts, change=change)
+    assert (ended.ok_value.status, sent) == (200, 1)
+
+
+def test_slow_response_of_the_only_upstream_is_awaited():
+    """Guards against giving up where there is nothing else to try."""
+    script = ScriptedUpstream(response(), delay_s=0.4)
+    ended, sent = run(script, change=expect_quick)
+    assert (ended.ok_value.status, sent) == (200, 1)
+
+
+def test_slow_upstream_is_left_for_another():
+    """Guards against waiting for a silent upstream while others answer."""
+    scripts = [
+        ScriptedUpstream(response(), delay_s=0.6),
+        ScriptedUpstream(response(), delay_s=0.6),
+    ]
+    _, sent = run(*scripts, change=expect_quick)
+    assert sent == 2
