Count silence until the deadline against the upstream; let it return sooner

And an upstream that was left out got no request that runs once for 30 s, also after a mere failed connection: after a cut of a zone the upstreams of services with only such requests stayed idle that long.

Ruled out: counting every timeout. A request that takes longer than its route's timeout would take sound upstreams out, so a timeout counts only if the upstream answered nothing else since the request was sent.

test_failed_upstream_gets_no_request_that_runs_once played its guard (an outcome that stays unknown) with a failed connection, where the outcome is known; it plays it with broken answers now, and keeps its expectations.

Tests: five new ones, failed before.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -180,9 +180,13 @@
         try:
             ended = await self._call(placed)
             verdict = judge(ended, state.dialect, self.accepted.route)
+        except asyncio.CancelledError:
+            if self.left_s <= 0:
+                verdict = Verdict.timed_out()
+            raise
         finally:
             now = state.now()
-            load.finish(verdict.observation, now)
+            load.finish(verdict.observation, now, started_at)
             state.metrics.attempts.labels(
                 self.accepted.service,
                 verdict.end,
--- a/egretmill/host/verdict.py
+++ b/egretmill/host/verdict.py
@@ -48,6 +48,15 @@
         """Return the end of an attempt whose caller has gone."""
         return cls('cancelled', ObservationKind.CANCELLED, maybe_run=True)
 
+    @classmethod
+    def timed_out(cls) -> 'Verdict':
+        """Return the end of an attempt at the deadline of its request."""
+        return cls(
+            FailureCause.TIMEOUT.value,
+            ObservationKind.TIMEOUT,
+            maybe_run=True,
+        )
+
 
 def judge(
     ended: Result[Response, CallFailure],
--- a/egretmill/placement/health.py
+++ b/egretmill/placement/health.py
@@ -34,6 +34,9 @@
     """Leaves a failing upstream out and lets single probes through.
 
     A probe is one real request at a time after the backoff.
+
+    :param once_delay_s: a request that may not be repeated is a probe only
+        this much later.
     """
 
     failures: int = 0
@@ -41,12 +44,13 @@
     retry_at: float = 0
     left_out: bool = False
     probing: bool = False
+    once_delay_s: float = UNSAFE_PROBE_DELAY_S
 
     def admits(self, now: float, *, idempotent: bool = True) -> bool:
         """Tell whether a new request may be sent."""
         if not self.left_out:
             return True
-        delay_s = 0 if idempotent else UNSAFE_PROBE_DELAY_S
+        delay_s = 0 if idempotent else self.once_delay_s
         return not self.probing and now >= self.retry_at + delay_s
 
     def begin(self) -> None:
--- a/egretmill/placement/load.py
+++ b/egretmill/placement/load.py
@@ -6,7 +6,7 @@
 
 from egretmill.fleet.upstreams import Upstream
 from egretmill.placement.cold import ColdGate
-from egretmill.placement.health import Health
+from egretmill.placement.health import LONGEST_BACKOFF_S, Health
 from egretmill.placement.observations import ObservationKind
 
 __all__ = ('LoadReport', 'UpstreamLoad')
@@ -31,6 +31,14 @@
 STALL_S = 1.0
 #: ... or for this multiple of the expected work, if that is longer.
 STALL_FACTOR = 4.0
+#: A request that runs once is the probe of an upstream that broke off or was
+#: silent this much later than an idempotent one, in seconds: the longest
+#: backoff, because its outcome would be unknown.
+ONCE_PROBE_DELAY_S = LONGEST_BACKOFF_S
+
+
+def _make_health() -> Health:
+    return Health(once_delay_s=ONCE_PROBE_DELAY_S)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +58,7 @@
     :param slowness: observed latency as a multiple of the expected one.
     :param warm: objects that it has handled, with the time.
     :param suspected_beat: last report when it was suspected to be cold.
+    :param unreached: the last failure ended before anything was sent.
     """
 
     record: Upstream
@@ -62,7 +71,8 @@
     held_until: float = 0
     progress_at: float = 0
     suspected_beat: int = 0
-    health: Health = dataclasses.field(default_factory=Health)
+    unreached: bool = False
+    health: Health = dataclasses.field(default_factory=_make_health)
     cold: ColdGate = dataclasses.field(default_factory=ColdGate)
     warm: 'collections.OrderedDict[str, float]' = dataclasses.field(
         default_factory=collections.OrderedDict,
@@ -91,7 +101,9 @@
         """
         if now < self.held_until or not self.cold.admits(now):
             return False
-        return self.health.admits(now, idempotent=idempotent)
+        # Nothing of a request is sent when the connection fails again.
+        harmless = idempotent or self.unreached
+        return self.health.admits(now, idempotent=harmless)
 
     def stalled(self, now: float, work_s: float) -> bool:
         """Tell whether requests are in flight but none ends."""
@@ -113,8 +125,17 @@
         self.cold.spend(now)
         self.health.begin()
 
-    def finish(self, kind: ObservationKind, now: float) -> None:
-        """Note the end of a request."""
+    def finish(
+        self,
+        kind: ObservationKind,
+        now: float,
+        began_at: float = math.inf,
+    ) -> None:
+        """Note the end of a request.
+
+        :param began_at: when it was sent; responses to other requests since
+            then show that the upstream is not silent.
+        """
         self.in_flight = max(self.in_flight - 1, 0)
         match kind:
             case ObservationKind.OK:
@@ -127,9 +148,11 @@
                 self._hold(now)
             case ObservationKind.CANCELLED:
                 self.health.cancel()
+            case ObservationKind.TIMEOUT if self.progress_at > began_at:
+                self.health.cancel()
             case _:
-                certain = kind is ObservationKind.REFUSED
-                self.health.fail(now, certain=certain)
+                self.unreached = kind is ObservationKind.REFUSED
+                self.health.fail(now, certain=self.unreached)
 
     def handled(
         self,
@@ -161,7 +184,7 @@
         self.slowness = 1
         self.held_until = 0
         self.suspected_beat = 0
-        self.health = Health()
+        self.health = _make_health()
         self.warm.clear()
 
     def _warm(self, object_key: str, now: float) -> None:
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -188,6 +188,19 @@
     assert ended.err_value.outcome is Outcome.UNKNOWN
 
 
+def test_silence_until_the_deadline_counts_against_the_upstream():
+    """Guards against a silent upstream whose timeouts pass for cancels."""
+    states = []
+    ended, _ = run(
+        ScriptedUpstream(),
+        path=b'/o/1',
+        method=b'POST',
+        change=states.append,
+    )
+    assert isinstance(ended, Err)
+    assert states[0].pool.loads['u0'].health.failures == 1
+
+
 def test_unreachable_upstreams_say_not_run():
     """Guards against an unknown outcome where nothing was sent."""
 
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -124,13 +124,55 @@
 def test_failed_upstream_gets_no_request_that_runs_once():
     """Guards against a probe whose outcome would stay unknown."""
     order = loads(1)
-    order[0].begin(NOW - 1)
-    order[0].finish(ObservationKind.REFUSED, NOW - 1)
+    for _ in range(2):
+        order[0].begin(NOW - 1)
+        order[0].finish(ObservationKind.FAILED, NOW - 1)
     assert chosen(order) == 'u0'
     refused = placement(idempotent=False).choose(order)
     assert isinstance(refused, Unplaced)
 
 
+def test_unreachable_upstream_returns_by_a_request_that_runs_once():
+    """Guards against upstreams without idempotent requests that stay out.
+
+    After a cut they were idle for 30 s; a request whose connection fails
+    has not been sent.
+    """
+    order = loads(1)
+    order[0].begin(NOW - 1)
+    order[0].finish(ObservationKind.REFUSED, NOW - 1)
+    assert chosen(order, idempotent=False) == 'u0'
+
+
+def test_failed_upstream_returns_without_idempotent_requests():
+    """Guards against upstreams that stay out long after they have returned."""
+    order = loads(1)
+    for _ in range(2):
+        order[0].begin(NOW - 10)
+        order[0].finish(ObservationKind.FAILED, NOW - 10)
+    assert chosen(order, idempotent=False) == 'u0'
+
+
+def test_silent_upstream_is_left_out_after_timeouts():
+    """Guards against a silent upstream that gets request after request."""
+    order = loads(1)
+    for _ in range(2):
+        order[0].begin(NOW - 1)
+        order[0].finish(ObservationKind.TIMEOUT, NOW, NOW - 1)
+    assert not order[0].usable(NOW + 0.1, idempotent=True)
+
+
+def test_timeout_at_an_upstream_that_answers_others_is_no_failure():
+    """Guards against leaving out an upstream for a request that takes long."""
+    order = loads(1)
+    for _ in range(2):
+        order[0].begin(NOW - 1)
+        order[0].begin(NOW - 1)
+        order[0].finish(ObservationKind.OK, NOW - 0.5, NOW - 1)
+        order[0].finish(ObservationKind.TIMEOUT, NOW, NOW - 1)
+    assert order[0].usable(NOW + 0.1, idempotent=True)
+
+
 def test_request_that_cannot_be_in_time_is_refused_at_once():
     """Guards against requests that wait until their deadline passes."""
     order = loads(1)
