Ask a silent host before its roster entry is removed; let a removed one join again

One host cut off from the others could stop a sound fleet; a suspended machine stayed out for good.

Ruled out: removal only by a majority. Any number of hosts may be lost, and the survivors must get the rates.

Change: a host that is silent for 15 s is marked as suspected in the roster; a live one clears the mark, another is removed 15 s later, all under the version of the entry. The digest of the roster holds the marks, so that peers do not prove a roster without them. A host whose entry is gone from a roster read after it joined joins again as a new one, with the lease's wait.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -271,6 +271,12 @@
         logging.INFO,
         'The entry of a host that has gone was removed.',
     )
+    ROSTER_MARKED = Event(
+        608,
+        'roster_marked',
+        logging.WARNING,
+        'A silent host is suspected of having gone, or was cleared of it.',
+    )
     LOOKUP_ANSWERED = Event(
         701,
         'lookup_answered',
--- a/egretmill/host/roster_keeper.py
+++ b/egretmill/host/roster_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import msgspec
 from result import Err, Ok
@@ -22,19 +23,26 @@
 __all__ = ('ROSTER_TABLE', 'RosterKeeper')
 
 ROSTER_TABLE = 'egretmill-roster'
-#: An entry is removed when its host was silent for this time, in seconds;
-#: well above a restart, which keeps its entry.
-GONE_S = 30.0
+#: A host that was silent for this time is suspected of having gone, in
+#: seconds; well above a restart, which keeps its entry.
+SILENT_S = 15.0
+#: The entry of a suspected host is removed after this time, in seconds. A
+#: host that lives reads the roster and clears the suspicion well before.
+SUSPECTED_S = 15.0
 CHECK_S = 5.0
 #: Pause between two tries to write the own entry, in seconds.
 RETRY_S = 0.3
 
 
 class RosterEntry(msgspec.Struct, frozen=True):
-    """Content of a row: where the host gets beats."""
+    """Content of a row: where the host gets beats.
+
+    :param suspected: another host has not heard of this one for long.
+    """
 
     address: str
     port: int
+    suspected: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +62,7 @@
         self.state = state
         self.store = store
         self.rows: dict[str, KnownRow] = {}
+        self.joined_at = math.inf
 
     async def join(self) -> None:
         """Write the own entry; its version is the incarnation."""
@@ -78,6 +87,7 @@
             self.log_failure('join', written.err_value)
             return False
         self.state.incarnation = written.ok_value
+        self.joined_at = self.state.now()
         wait_s = LOAN_S if expected else LEASE_S
         self.state.share.joined(self.state.now(), wait_s, new=not expected)
         log_event(
@@ -89,29 +99,80 @@
         return True
 
     async def keep(self) -> None:
-        """Remove entries of hosts long gone until cancelled."""
+        """Keep the roster in order until cancelled."""
         while True:
             await asyncio.sleep(CHECK_S)
+            await self.keep_own()
             await self.remove_gone()
 
+    async def keep_own(self) -> None:
+        """Clear a suspicion; join again if the own entry was removed.
+
+        Another host removes it after a long silence, as when this one was
+        suspended or cut off from the others.
+        """
+        share = self.state.share
+        own = self.rows.get(share.host)
+        if own is None and share.proof.at > self.joined_at:
+            await self.join()
+        elif own is not None and own.entry.suspected:
+            await self.mark(share.host, own, suspected=False)
+
     async def remove_gone(self) -> None:
-        """Remove what the first live host of the roster should remove."""
+        """Suspect silent hosts, then remove those that do not object.
+
+        The first live host of the roster does it for all. A host that hears
+        nobody may be the one that is cut off, so it asks through the store
+        before it removes the others.
+        """
         now = self.state.now()
         alive = {peer.name for peer in self.state.peers.alive(now)}
         for name in alive & self.rows.keys():
             self.rows[name].seen_at = now
-        if self.state.settings.name != min(alive | {self.state.settings.name}):
+        own = self.state.settings.name
+        if own != min(alive | {own}):
             return
         for name, row in tuple(self.rows.items()):
-            is_own = name == self.state.settings.name
-            if is_own or now - row.seen_at < GONE_S:
-                continue
-            write = Write(RowKey(ROSTER_TABLE, name), None, row.version)
-            removed = await self.store.transact((write,))
-            if isinstance(removed, Err):
-                self.log_failure('remove', removed.err_value)
-            else:
-                log_event(events.CATALOGUE.ROSTER_REMOVED, peer=name)
+            if name != own:
+                await self.check_silent(name, row, now - row.seen_at)
+
+    async def check_silent(
+        self,
+        name: str,
+        row: KnownRow,
+        silence_s: float,
+    ) -> None:
+        """Suspect a silent host, or remove one that has not objected."""
+        if not row.entry.suspected:
+            if silence_s >= SILENT_S:
+                await self.mark(name, row, suspected=True)
+        elif silence_s >= SUSPECTED_S:
+            await self.remove(name, row)
+
+    async def mark(self, name: str, row: KnownRow, *, suspected: bool) -> None:
+        """Write or clear a suspicion unless the entry has changed."""
+        entry = RosterEntry(row.entry.address, row.entry.port, suspected)
+        content = msgspec.json.encode(entry)
+        write = Write(RowKey(ROSTER_TABLE, name), content, row.version)
+        written = await self.store.transact((write,))
+        if isinstance(written, Err):
+            self.log_failure('mark', written.err_value)
+            return
+        log_event(
+            events.CATALOGUE.ROSTER_MARKED,
+            host=name,
+            suspected=suspected,
+            silent_s=round(self.state.now() - row.seen_at, 1),
+        )
+
+    async def remove(self, name: str, row: KnownRow) -> None:
+        """Remove the entry of a suspected host."""
+        write = Write(RowKey(ROSTER_TABLE, name), None, row.version)
+        removed = await self.store.transact((write,))
+        if isinstance(removed, Err):
+            self.log_failure('remove', removed.err_value)
+        else:
+            log_event(events.CATALOGUE.ROSTER_REMOVED, peer=name)
 
     def replace(self, rows: tuple[StoredRow, ...]) -> None:
         """Take the whole roster."""
@@ -131,6 +192,9 @@
     def proved(self, sent_at: float) -> None:
         """Apply the roster with the proof of its age."""
         before = self.state.share.members
+        self.state.suspects = frozenset(
+            name for name, row in self.rows.items() if row.entry.suspected
+        )
         now = self.state.now()
         if self.state.share.read(self.rows, sent_at, now):
             self.state.peers.apply(
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -37,6 +37,8 @@
     """All state of one host process.
 
     :param incarnation: differs after each start, grows.
+    :param suspects: hosts whose entries in the roster will be removed unless
+        they object.
     """
 
     settings: HostSettings
@@ -52,6 +54,7 @@
     tokens: TokenDesk
     work: dict[str, WorkTimes] = dataclasses.field(default_factory=dict)
     incarnation: int = 0
+    suspects: frozenset[str] = frozenset()
     leaving: bool = False
     limits: ConnectionLimits = ConnectionLimits()
     now: Callable[[], float] = boot_time
@@ -151,7 +154,8 @@
 
     def roster_digest(self) -> int:
         """Return what equal rosters on other hosts have in common."""
-        text = ','.join(sorted(self.share.members))
+        members = ','.join(sorted(self.share.members))
+        text = f'{members}/{",".join(sorted(self.suspects))}'
         return xxhash.xxh3_64_intdigest(text.encode()) >> 1
 
     def upstream_gone(self, upstream: Upstream) -> None:
