Add a randomized fault soak of real host programs

Change: the package soak starts host programs behind loopback proxies (TCP to store, entry and upstreams; datagrams between hosts), draws overlapping faults from a seed, and checks the promises from what callers, upstreams and the operator saw. The stand-in of the store can show rows to each host in its own way, which puts the datagram proxies between hosts.

Not covered: the time of day, which no decision uses (hosts run on the boot clock; SIGSTOP stands for a suspended machine).

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real host programs under faults from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,65 @@
+"""Command line: ``python -m soak --seeds 1-50 --jobs 3``."""
+
+import argparse
+import functools
+import pathlib
+import random
+import sys
+import tempfile
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+
+from soak.run import Outcome, RunSize, run_seed
+
+__all__ = ('main',)
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Read ``3``, ``1-50`` or ``fresh:5``."""
+    if text.startswith('fresh:'):
+        rng = random.SystemRandom()
+        return [rng.randrange(1 << 32) for _ in range(int(text[6:]))]
+    first, _, last = text.partition('-')
+    return list(range(int(first), int(last or first) + 1))
+
+
+def report(outcome: Outcome) -> None:
+    """Print a line for a run, and one for each violation."""
+    print(
+        f'seed {outcome.seed}: {outcome.served} of {outcome.requests} served, '
+        f'{len(outcome.faults)} faults, {len(outcome.violations)} violations',
+        flush=True,
+    )
+    for violation in outcome.violations[:10]:
+        print(f'  {violation.promise}: {violation.detail}', flush=True)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Play seeds; the exit status is 1 when a promise was not kept."""
+    parser = argparse.ArgumentParser(prog='soak')
+    parser.add_argument('--seeds', type=parse_seeds, default='fresh:3')
+    parser.add_argument('--seconds', type=float, default=RunSize().length_s)
+    parser.add_argument('--hosts', type=int, default=RunSize().hosts)
+    parser.add_argument('--jobs', type=int, default=1)
+    parser.add_argument('--logs', type=pathlib.Path)
+    options = parser.parse_args(arguments)
+    folder = options.logs or pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+    print(f'logs of the hosts: {folder}')
+    size = RunSize(options.seconds, options.hosts)
+    failed = 0
+    with ProcessPoolExecutor(options.jobs) as pool:
+        plays = [
+            pool.submit(
+                functools.partial(run_seed, seed, size, folder / str(seed)),
+            )
+            for seed in options.seeds
+        ]
+        for play in as_completed(plays):
+            report(play.result())
+            failed += bool(play.result().violations)
+    print(f'{len(plays) - failed} passed, {failed} failed')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+from collections.abc import Callable
 
 from tornado import web
 
@@ -15,6 +16,8 @@
 HTTP_CONFLICT = 412
 READ_ONLY = frozenset(('op', 'servers'))
 POLL_S = 0.005
+#: Turns table, key and content of a row into what one caller is shown.
+Show = Callable[[str, str, bytes], bytes]
 
 
 @dataclasses.dataclass
@@ -86,9 +89,10 @@
 class TableHandler(web.RequestHandler):
     """Base of the calls; applies the faults."""
 
-    def initialize(self, server: TableServer) -> None:
+    def initialize(self, server: TableServer, show: Show) -> None:
         """Answer from a server."""
         self.server = server
+        self.show = show
 
     async def prepare(self) -> None:
         """Fail as the faults say."""
@@ -107,6 +111,17 @@
             return
         self.finish({'Ver': self.server.version, 'Now': '5s', **fields})
 
+    def encode(
+        self,
+        table: str,
+        key: str,
+        content: bytes | None,
+        version: int,
+    ) -> dict:
+        """Return a row as the caller is shown it."""
+        shown = content and self.show(table, key, content)
+        return encode_row(table, key, shown, version)
+
     def on_finish(self) -> None:
         """Leave the log to the tests."""
 
@@ -125,7 +140,7 @@
             if name == table and key >= start
         )
         rows = [
-            encode_row(table, key, *self.server.rows[table, key])
+            self.encode(table, key, *self.server.rows[table, key])
             for key in keys[:limit]
         ]
         self.answer(Rows=rows, HasMore=len(keys) > limit)
@@ -153,7 +168,7 @@
     def changed(self, table: str, after: int) -> list[dict]:
         """Return the changed rows of a table."""
         return [
-            encode_row(name, key, content, version)
+            self.encode(name, key, content, version)
             for version, name, key, content in self.server.changes
             if version > after and name == table
         ]
@@ -194,9 +209,17 @@
     return {**row, 'Value': base64.b64encode(content).decode()}
 
 
-def make_application(server: TableServer) -> web.Application:
-    """Return the calls of the store."""
-    told = {'server': server}
+def show_all(table: str, key: str, content: bytes) -> bytes:
+    """Show rows as they are."""
+    return content
+
+
+def make_application(
+    server: TableServer,
+    show: Show = show_all,
+) -> web.Application:
+    """Return the calls of the store as one caller sees it."""
+    told = {'server': server, 'show': show}
     return web.Application(
         [
             ('/egretmill/rows-get', Get, told),
