Let two hosts follow the store for all others

Ruled out: fewer calls of every host. The pace is bounded by the time to apply a version and to leave an upstream.

Change: two hosts are on duty by a fixed order of those that are heard. The others take proofs from beats, now for the list of upstreams as well, and read when a peer knows something unknown or their proof grows old.

--- a/egretmill/fleet/knowledge.py
+++ b/egretmill/fleet/knowledge.py
@@ -1,13 +1,14 @@
 """The knowledge of one host, as read from the platform's store."""
 
 import dataclasses
+import enum
 from collections.abc import Callable
 
 from egretmill.fleet.configuration import FleetConfiguration
 from egretmill.fleet.freshness import Proof, boot_time
 from egretmill.fleet.upstreams import Upstream, UpstreamList
 
-__all__ = ('Knowledge',)
+__all__ = ('Knowledge', 'Topic')
 
 #: Called with an upstream and the record before it.
 UpstreamListener = Callable[[Upstream, Upstream | None], None]
@@ -17,6 +18,14 @@
     """Take no notice of a change."""
 
 
+class Topic(enum.StrEnum):
+    """What a host follows in the store, each with a proof of its age."""
+
+    CONFIGURATION = 'configuration'
+    UPSTREAMS = 'upstreams'
+    ROSTER = 'roster'
+
+
 @dataclasses.dataclass(slots=True)
 class Knowledge:
     """Configuration, evacuations and upstreams with the proofs of their age.
--- a/egretmill/fleet/upstreams.py
+++ b/egretmill/fleet/upstreams.py
@@ -4,6 +4,8 @@
 import enum
 from collections.abc import Iterable, Iterator, Mapping
 
+import xxhash
+
 __all__ = ('Upstream', 'UpstreamList', 'UpstreamState')
 
 
@@ -59,6 +61,19 @@
         self.edition = 0
         #: Newest incarnation of names that are not registered any more.
         self.retired: dict[str, int] = {}
+        self.known_digest: int | None = None
+
+    @property
+    def digest(self) -> int:
+        """Return what equal lists on other hosts have in common.
+
+        Reports that change nothing for placement do not change it.
+        """
+        if self.known_digest is None:
+            rows = sorted(map(_fingerprint, self.by_name.values()))
+            text = '\n'.join(rows)
+            self.known_digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
+        return self.known_digest
 
     def put(self, upstream: Upstream) -> Upstream | None:
         """Add or replace an upstream; return the record before.
@@ -71,6 +86,8 @@
         if upstream.incarnation < self.retired.get(upstream.name, 0):
             return None
         self.by_name[upstream.name] = upstream
+        if known is None or _fingerprint(known) != _fingerprint(upstream):
+            self.known_digest = None
         if known is None or _candidacy(known) != _candidacy(upstream):
             self._regroup({upstream.service, known and known.service})
         return known
@@ -79,6 +96,7 @@
         """Remove an upstream that is not registered any more."""
         known = self.by_name.pop(name, None)
         if known is not None:
+            self.known_digest = None
             self.retired[name] = known.incarnation
             self._regroup({known.service})
         return known
@@ -130,6 +148,11 @@
     )
 
 
+def _fingerprint(upstream: Upstream) -> str:
+    fields = (*_candidacy(upstream), upstream.cold_s > 0)
+    return '/'.join(map(str, fields))
+
+
 def _is_older(upstream: Upstream, known: Upstream) -> bool:
     if upstream.incarnation != known.incarnation:
         return upstream.incarnation < known.incarnation
--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -1,9 +1,12 @@
 """Exchanges beats with all other hosts and learns from them."""
 
 import asyncio
+import collections
+import dataclasses
 from collections.abc import Callable
 
 from egretmill import events
+from egretmill.fleet.knowledge import Topic
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
 from egretmill.peers.beat import Beat, Datagram, TokenAnswer, TokenAsk
@@ -17,25 +20,57 @@
 LONGEST_ROUND_TRIP_S = 3.0
 #: Least time between two looks for changes that peers know of, in seconds.
 LOOK_S = 0.2
+#: What a call brings can be younger than its proof by its duration: the wait
+#: for a change and the way to the store and back, in seconds.
+CALL_S = 1.0
+#: Own digests that are kept, to tell news from what a peer has not learned
+#: yet; the longest storm of changes that is seen on users' days has a dozen.
+DIGESTS_KEPT = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Told:
+    """What a peer says of a topic.
+
+    :param age_s: age of its proof; negative when it has none.
+    """
+
+    digest: int
+    age_s: float
+
+
+def knowledge_of(beat: Beat) -> dict[Topic, Told]:
+    """Return what a beat says of each topic."""
+    return {
+        Topic.CONFIGURATION: Told(beat.knowledge, beat.knowledge_age),
+        Topic.UPSTREAMS: Told(beat.upstreams, beat.upstreams_age),
+        Topic.ROSTER: Told(beat.roster, beat.roster_age),
+    }
 
 
 class Beats:
     """Sends a beat to each peer in every interval.
 
-    :param on_difference: called when a peer knows something else.
+    :param on_difference: called with the topic of which a peer knows
+        something else.
     """
 
     def __init__(
         self,
         state: HostState,
-        on_difference: Callable[[], None],
+        on_difference: Callable[[Topic], None],
     ) -> None:
         self.state = state
         self.on_difference = on_difference
         self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.alive: frozenset[str] = frozenset()
-        self.looked_at = 0.0
+        self.looked_at: dict[Topic, float] = {}
+        self.digests: dict[Topic, int] = {}
+        self.past = {
+            topic: collections.deque[int](maxlen=DIGESTS_KEPT)
+            for topic in Topic
+        }
 
     async def run(self) -> None:
         """Send beats until cancelled."""
@@ -56,6 +91,7 @@
     def tick(self) -> None:
         """Send one beat to each peer and note who has gone or come."""
         now = self.state.now()
+        self.note_digests()
         self.state.accounts.refresh(now)
         shortages = {
             account: (round(row.need, 4), round(row.held, 4))
@@ -67,6 +103,22 @@
         self.note_alive(now)
         self.state.share_retries()
 
+    def note_digests(self) -> bool:
+        """Note what is known now; return whether it has changed."""
+        changed = False
+        for topic in Topic:
+            digest = self.state.digest(topic)
+            if digest != self.digests.get(topic):
+                self.digests[topic] = digest
+                self.past[topic].append(digest)
+                changed = True
+        return changed
+
+    def announce(self) -> None:
+        """Tell the others at once what a host on duty has learned."""
+        if self.note_digests() and self.state.on_duty():
+            self.tick()
+
     def send(
         self,
         peer: Peer,
@@ -103,13 +155,15 @@
             state.ready,
             now,
             answers,
-            state.knowledge_digest(),
-            state.knowledge.configuration_proof.age(now),
-            state.roster_digest(),
-            state.share.proof.age(now),
+            self.digests[Topic.CONFIGURATION],
+            state.proof(Topic.CONFIGURATION).age(now),
+            self.digests[Topic.ROSTER],
+            state.proof(Topic.ROSTER).age(now),
             shortages,
             loans,
             settings.room,
+            self.digests[Topic.UPSTREAMS],
+            state.proof(Topic.UPSTREAMS).age(now),
         )
 
     def lend(
@@ -153,38 +207,35 @@
         now = state.now()
         if not state.peers.hear(beat, address, now):
             return
-        same = beat.knowledge == state.knowledge_digest()
-        same_roster = beat.roster == state.roster_digest()
-        if not (same and same_roster):
-            self.note_difference(beat, now)
+        self.note_digests()
         asked_at = beat.answers
-        if not 0 < now - asked_at < LONGEST_ROUND_TRIP_S:
-            return
-        state.loans.take(beat.host, beat.loans, asked_at)
-        if same and beat.knowledge_age >= 0:
-            proved_at = asked_at - beat.knowledge_age
-            state.knowledge.configuration_proof.confirm(proved_at)
-        if same_roster and beat.roster_age >= 0:
-            state.share.proof.confirm(asked_at - beat.roster_age)
-        self.confirm_share(now)
-
-    def note_difference(self, beat: Beat, now: float) -> None:
-        """Look for changes if the peer's knowledge is the younger."""
-        knowledge_age = self.state.knowledge.configuration_proof.age(now)
-        roster_age = self.state.share.proof.age(now)
-        younger = (
-            beat.knowledge_age < knowledge_age or beat.roster_age < roster_age
-        )
-        if younger and now - self.looked_at > LOOK_S:
-            self.looked_at = now
-            self.on_difference()
+        is_answer = 0 < now - asked_at < LONGEST_ROUND_TRIP_S
+        if is_answer:
+            state.loans.take(beat.host, beat.loans, asked_at)
+        for topic, told in knowledge_of(beat).items():
+            if told.digest != self.digests[topic]:
+                self.note_difference(topic, told, now)
+            elif is_answer and told.age_s >= 0:
+                state.proof(topic).confirm(asked_at - told.age_s)
+        if is_answer:
+            self.confirm_share(now)
+
+    def note_difference(self, topic: Topic, told: Told, now: float) -> None:
+        """Look for changes unless the peer is the one that is behind."""
+        own_age_s = self.state.proof(topic).age(now)
+        is_news = told.digest not in self.past[topic]
+        newer_s = CALL_S if is_news else 0
+        rested = now - self.looked_at.get(topic, 0) > LOOK_S
+        if told.age_s - newer_s < own_age_s and rested:
+            self.looked_at[topic] = now
+            self.on_difference(topic)
 
     def confirm_share(self, now: float) -> None:
         """Use the own part once every member is known to know the roster."""
         share = self.state.share
         if now >= share.active_at or share.host not in share.members:
             return
-        digest = self.state.roster_digest()
+        digest = self.state.digest(Topic.ROSTER)
         for name in share.members - {share.host}:
             peer = self.state.peers.peers.get(name)
             if peer is None or peer.beat is None:
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -5,7 +5,7 @@
 import dataclasses
 import signal
 import socket
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Protocol
 
 from tornado import web
@@ -13,6 +13,7 @@
 
 from egretmill import events
 from egretmill.fleet.freshness import boot_time
+from egretmill.fleet.knowledge import Topic
 from egretmill.host.beats import Beats
 from egretmill.host.handler import EntryHandler
 from egretmill.host.metrics import HostMetrics
@@ -51,8 +52,8 @@
     settings: HostSettings
     store: TableStore
 
-    def watches(self, updates: Updates) -> Sequence[TableWatch]:
-        """Return the watches of the platform's own tables."""
+    def watches(self, updates: Updates) -> Mapping[Topic, TableWatch]:
+        """Return the watches of the platform's own tables, by topic."""
         raise NotImplementedError
 
     def applications(
@@ -101,16 +102,17 @@
         self.handler = EntryHandler(state)
         self.keeper = RosterKeeper(state, adapter.store)
         self.beats = Beats(state, self.poke)
-        self.watches = [
-            *adapter.watches(self.updates),
-            TableWatch(
+        self.updates.on_read = self.beats.announce
+        self.watches = {
+            **adapter.watches(self.updates),
+            Topic.ROSTER: TableWatch(
                 adapter.store,
                 ROSTER_TABLE,
                 self.keeper,
                 ROSTER_PACE,
                 proof=state.share.proof,
             ),
-        ]
+        }
 
     async def run(self, signals: StopSignals) -> int:
         """Serve until the first signal, then shut down gracefully."""
@@ -137,7 +139,10 @@
             supervise('join', self.keeper.join),
             supervise('keep', self.keeper.keep),
             supervise('readiness', lambda: self.note_ready(started_at)),
-            *(supervise(watch.table, watch.run) for watch in self.watches),
+            *(
+                supervise(topic.value, watch.run)
+                for topic, watch in self.watches.items()
+            ),
         ]
 
     async def listen(self) -> Listening:
@@ -159,10 +164,9 @@
             others.append(other)
         return Listening(server, others)
 
-    def poke(self) -> None:
+    def poke(self, topic: Topic) -> None:
         """Look for changes now: a peer knows something else."""
-        for watch in self.watches:
-            watch.poke()
+        self.watches[topic].poke()
 
     def reload(self) -> None:
         """Take over changed settings that can change while running."""
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -6,8 +6,8 @@
 import xxhash
 
 from egretmill.fleet.configuration import FleetConfiguration, Route
-from egretmill.fleet.freshness import boot_time
-from egretmill.fleet.knowledge import Knowledge
+from egretmill.fleet.freshness import Proof, boot_time
+from egretmill.fleet.knowledge import Knowledge, Topic
 from egretmill.fleet.upstreams import Upstream
 from egretmill.host.dialect import Dialect
 from egretmill.host.metrics import HostMetrics
@@ -146,17 +146,32 @@
             self.work[route.name] = found
         return found
 
-    def knowledge_digest(self) -> int:
-        """Return what equal knowledge on another host has in common."""
-        domains = ','.join(sorted(self.knowledge.evacuated))
-        text = f'{self.knowledge.version}/{domains}'
+    def on_duty(self) -> bool:
+        """Tell whether this host follows the store for the others."""
+        return self.peers.on_duty(self.now())
+
+    def digest(self, topic: Topic) -> int:
+        """Return what equal knowledge on other hosts has in common."""
+        match topic:
+            case Topic.CONFIGURATION:
+                domains = ','.join(sorted(self.knowledge.evacuated))
+                text = f'{self.knowledge.version}/{domains}'
+            case Topic.UPSTREAMS:
+                return self.knowledge.upstreams.digest
+            case Topic.ROSTER:
+                members = ','.join(sorted(self.share.members))
+                text = f'{members}/{",".join(sorted(self.suspects))}'
         return xxhash.xxh3_64_intdigest(text.encode()) >> 1
 
-    def roster_digest(self) -> int:
-        """Return what equal rosters on other hosts have in common."""
-        members = ','.join(sorted(self.share.members))
-        text = f'{members}/{",".join(sorted(self.suspects))}'
-        return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+    def proof(self, topic: Topic) -> Proof:
+        """Return how current the knowledge is known to be."""
+        match topic:
+            case Topic.CONFIGURATION:
+                return self.knowledge.configuration_proof
+            case Topic.UPSTREAMS:
+                return self.knowledge.upstream_proof
+            case Topic.ROSTER:
+                return self.share.proof
 
     def upstream_gone(self, upstream: Upstream) -> None:
         """Drop an upstream that is not registered any more."""
--- a/egretmill/host/updates.py
+++ b/egretmill/host/updates.py
@@ -1,6 +1,7 @@
 """Takes over what the adapter reads, and logs what has changed."""
 
 import asyncio
+from collections.abc import Callable
 
 from egretmill import events
 from egretmill.fleet.configuration import FleetConfiguration
@@ -15,6 +16,10 @@
 RETURN_S = 2.0
 
 
+def ignore_read() -> None:
+    """Tell nobody."""
+
+
 class Updates:
     """The way of new knowledge into the state of the host."""
 
@@ -23,6 +28,8 @@
         self.state = state
         #: Upstreams whose entries are missing since an outage of the store.
         self.missing: dict[str, asyncio.TimerHandle] = {}
+        #: Called after each answer of the store.
+        self.on_read: Callable[[], None] = ignore_read
 
     def configuration(self, configuration: FleetConfiguration) -> None:
         """Take a version of the configuration."""
--- a/egretmill/peers/beat.py
+++ b/egretmill/peers/beat.py
@@ -29,6 +29,8 @@
     :param knowledge: digest of the configuration and the evacuations.
     :param knowledge_age: age of the proof that it was current.
     :param roster: digest of the roster, with the age of its proof.
+    :param upstreams: digest of the list of upstreams, with the age of its
+        proof; a negative age proves nothing.
     :param shortages: need and held fraction, by client account.
     :param loans: what the receiver may use, by client account.
     """
@@ -48,6 +50,8 @@
     shortages: dict[str, tuple[float, float]] = {}
     loans: Fractions = {}
     room: float = 1
+    upstreams: int = 0
+    upstreams_age: float = -1
 
 
 class TokenAsk(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/egretmill/peers/table.py
+++ b/egretmill/peers/table.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Mapping
 
+import xxhash
+
 from egretmill.peers.beat import Beat
 
 __all__ = ('Peer', 'PeerTable', 'beat_interval_s')
@@ -16,6 +18,9 @@
 SILENT_INTERVALS = 5
 #: ... and after this time at least.
 LEAST_SILENCE_S = 1.5
+#: Hosts that follow the store for all; the others learn from their beats.
+#: The loss of one leaves another until the peers notice.
+DUTY_HOSTS = 2
 
 
 def beat_interval_s(size: int) -> float:
@@ -95,12 +100,27 @@
         peer = self.peers.get(name)
         return peer is not None and peer.alive(now, self.silence_s)
 
+    def on_duty(self, now: float) -> bool:
+        """Tell whether this host follows the store for the others.
+
+        Every host decides by whom it hears; where hosts differ, there are
+        more or fewer on duty for a while, and those without news from one
+        read the store themselves.
+        """
+        names = [peer.name for peer in self.alive(now)]
+        names.append(self.host)
+        return self.host in sorted(names, key=_duty_rank)[:DUTY_HOSTS]
+
     def sent_at(self, name: str) -> float:
         """Return when the last beat of a peer was sent, by its clock."""
         peer = self.peers.get(name)
         return peer.beat.sent_at if peer and peer.beat else 0
 
 
+def _duty_rank(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
 def _is_newer(beat: Beat, last: Beat) -> bool:
     if beat.incarnation != last.incarnation:
         return beat.incarnation > last.incarnation
--- a/egretmill/tables/__init__.py
+++ b/egretmill/tables/__init__.py
@@ -10,7 +10,12 @@
     TableStore,
     Write,
 )
-from egretmill.tables.watch import TableListener, TableWatch, WatchPace
+from egretmill.tables.watch import (
+    TableListener,
+    TableWatch,
+    WatchPace,
+    WatchPaces,
+)
 
 __all__ = (
     'Changes',
@@ -23,5 +28,6 @@
     'TableStore',
     'TableWatch',
     'WatchPace',
+    'WatchPaces',
     'Write',
 )
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -20,7 +20,7 @@
     TableStore,
 )
 
-__all__ = ('TableListener', 'TableWatch', 'WatchPace')
+__all__ = ('TableListener', 'TableWatch', 'WatchPace', 'WatchPaces')
 
 #: First and longest pause after a failed call, in seconds.
 FIRST_PAUSE_S = 0.1
@@ -60,11 +60,32 @@
     fresh_s: float = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchPaces:
+    """Pace of a host that follows a table for the others, and of those."""
+
+    on_duty: WatchPace
+    off_duty: WatchPace
+
+    @classmethod
+    def always(cls, pace: WatchPace) -> 'WatchPaces':
+        """Return the same pace for all hosts."""
+        return cls(pace, pace)
+
+
+def never() -> bool:
+    """Follow the table for this host only."""
+    return False
+
+
 class TableWatch:
     """Keeps a copy of one table in step with the store.
 
     A call that was answered proves the state at a moment after the call was
     sent. The copy never goes back to an older version.
+
+    :param proof: of the copy; peers can renew it as well.
+    :param on_duty: tells whether this host follows the table for others.
     """
 
     def __init__(
@@ -72,15 +93,19 @@
         store: TableStore,
         table: str,
         listener: TableListener,
-        pace: WatchPace,
+        paces: WatchPace | WatchPaces,
         now: Callable[[], float] = boot_time,
         proof: Proof | None = None,
+        on_duty: Callable[[], bool] = never,
     ) -> None:
         self.proof = proof
+        self.on_duty = on_duty
         self.store = store
         self.table = table
         self.listener = listener
-        self.pace = pace
+        if isinstance(paces, WatchPace):
+            paces = WatchPaces.always(paces)
+        self.paces = paces
         self.now = now
         self.position: int | None = None
         self.highest = 0
@@ -89,6 +114,11 @@
         self.poked = asyncio.Event()
         self.rng = random.Random()  # noqa: S311
 
+    @property
+    def pace(self) -> WatchPace:
+        """Return the pace for now."""
+        return self.paces.on_duty if self.on_duty() else self.paces.off_duty
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -118,7 +148,9 @@
 
     async def rest_while_fresh(self) -> None:
         """Wait while others prove that the copy is current."""
-        if self.proof is None or self.poked.is_set():
+        if self.proof is None or not self.pace.fresh_s:
+            return
+        if self.poked.is_set():
             return
         left_s = self.pace.fresh_s - self.proof.age(self.now())
         while left_s > 0:
--- a/tests/host/test_beats.py
+++ b/tests/host/test_beats.py
@@ -3,10 +3,14 @@
 import pytest
 
 from egretmill.fleet.freshness import boot_time
+from egretmill.fleet.knowledge import Topic
 from egretmill.host.beats import Beats
-from egretmill.peers import Beat
-from tests.host.fakes import make_state
+from egretmill.fleet.upstreams import UpstreamState
+from egretmill.peers import Beat, PeerTable
+from egretmill.peers.table import DUTY_HOSTS
+from tests.host.fakes import make_state, upstream
 
+NOW = 1000.0
 ADDRESS = ('10.0.0.2', 7000)
 #: Of a proof that was set four seconds ago.
 LEAST_AGE_S = 3.9
@@ -15,7 +19,7 @@
 def make_beats():
     """Return beats of a host, with a list of its looks for changes."""
     looks = []
-    return Beats(make_state(), lambda: looks.append(1)), looks
+    return Beats(make_state(), looks.append), looks
 
 
 def beat_like(beats, **changes):
@@ -31,10 +35,12 @@
         True,
         now,
         now - 0.1,
-        state.knowledge_digest(),
+        state.digest(Topic.CONFIGURATION),
         0.2,
-        state.roster_digest(),
+        state.digest(Topic.ROSTER),
         0.2,
+        upstreams=state.digest(Topic.UPSTREAMS),
+        upstreams_age=0.2,
     )
     return changed_beat(beat, **changes)
 
@@ -77,7 +83,7 @@
     beats, looks = make_beats()
     beats.state.knowledge.configuration_proof.at = boot_time() - 1
     beats.hear(beat_like(beats, knowledge=1), ADDRESS)
-    assert looks == [1]
+    assert looks == [Topic.CONFIGURATION]
 
 
 def test_outdated_peer_leads_to_no_look():
@@ -97,3 +103,69 @@
     assert beats.beat(peer, {}, {}, boot_time()).ready
     state.leaving = True
     assert not beats.beat(peer, {}, {}, boot_time()).ready
+
+
+def test_news_is_looked_for_although_its_proof_is_older():
+    """Guards against a change that waits for the next call of each host.
+
+    What a long call brings is younger than the proof, which counts from
+    when it was sent.
+    """
+    beats, looks = make_beats()
+    beats.state.knowledge.configuration_proof.confirm(boot_time())
+    news = beat_like(beats, knowledge=1, knowledge_age=0.6)
+    beats.hear(news, ADDRESS)
+    assert looks == [Topic.CONFIGURATION]
+
+
+def test_peer_that_is_behind_leads_to_no_look():
+    """Guards against a call of each host for each beat after a change."""
+    beats, looks = make_beats()
+    beats.note_digests()
+    behind = beat_like(beats, knowledge_age=0.6)
+    beats.state.knowledge.evacuate(frozenset(('west-a',)))
+    beats.state.knowledge.configuration_proof.confirm(boot_time())
+    beats.hear(behind, ADDRESS)
+    assert not looks
+
+
+def test_peer_proves_the_list_of_upstreams():
+    """Guards against 32 hosts that all read the same list."""
+    beats, _ = make_beats()
+    proof = beats.state.knowledge.upstream_proof
+    beats.hear(beat_like(beats), ADDRESS)
+    assert proof.age(boot_time()) < 1
+    proof.at = 0
+    beats.state.knowledge.put_upstream(upstream())
+    outdated = beat_like(beats, sent_at=boot_time() + 1, upstreams=1)
+    beats.hear(outdated, ADDRESS)
+    assert proof.at == 0
+
+
+def test_report_that_changes_nothing_keeps_the_digest():
+    """Guards against lists that never agree because upstreams report."""
+    knowledge = make_state(upstream()).knowledge
+    before = knowledge.upstreams.digest
+    knowledge.put_upstream(upstream(beat=5))
+    assert knowledge.upstreams.digest == before
+    knowledge.put_upstream(upstream(beat=6, cold_s=2))
+    cold = knowledge.upstreams.digest
+    assert cold != before
+    knowledge.put_upstream(upstream(beat=7, state=UpstreamState.LEAVING))
+    assert knowledge.upstreams.digest not in {before, cold}
+    knowledge.upstreams.drop('u1')
+    assert knowledge.upstreams.digest not in {before, cold}
+
+
+def test_few_hosts_are_on_duty():
+    """Guards against a fleet in which nobody, or everybody, reads."""
+    names = [f'h{number}' for number in range(32)]
+    on_duty = []
+    for name in names:
+        table = PeerTable(name)
+        for other in names:
+            heard = Beat(other, 1, '', '', '', True, 1, 0, 0, 0, 0, 0)
+            table.hear(heard, ADDRESS, NOW)
+        on_duty.append(table.on_duty(NOW))
+        assert table.on_duty(NOW + 60)
+    assert sum(on_duty) == DUTY_HOSTS
--- a/tests/host/test_roster_keeper.py
+++ b/tests/host/test_roster_keeper.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok
 
+from egretmill.fleet.knowledge import Topic
 from egretmill.host.roster_keeper import (
     ROSTER_TABLE,
     SILENT_S,
@@ -166,10 +167,10 @@
     """Guards against peers that prove a roster without the suspicion."""
     first, second = hosts('a', 'b')
     second.run(second.read)
-    assert first.state.roster_digest() == second.state.roster_digest()
+    assert first.state.digest(Topic.ROSTER) == second.state.digest(Topic.ROSTER)
     first.time += SILENT_S
     first.run(first.keeper.remove_gone)
-    assert first.state.roster_digest() != second.state.roster_digest()
+    assert first.state.digest(Topic.ROSTER) != second.state.digest(Topic.ROSTER)
 
 
 def test_host_that_is_heard_is_not_suspected():
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -16,6 +16,7 @@
     StoreProblem,
     TableWatch,
     WatchPace,
+    WatchPaces,
 )
 
 ROW = StoredRow('a', b'1', 5)
@@ -191,3 +192,26 @@
     task = asyncio.create_task(watch.run())
     await asyncio.wait((task,), timeout=1)
     assert store.calls == ['read', 'after 1', 'after 1']
+
+
+async def test_host_on_duty_reads_although_peers_prove_the_copy():
+    """Guards against hosts that all wait for one another."""
+    store = Script(Ok(Snapshot((), 1)), Ok(Changes((), 1)))
+    proof = Proof()
+    proof.confirm(9.0)
+    paces = WatchPaces(
+        on_duty=WatchPace(0),
+        off_duty=WatchPace(0, fresh_s=30),
+    )
+    watch = TableWatch(
+        store,
+        't',
+        Listener(),
+        paces,
+        store.now,
+        proof,
+        on_duty=lambda: True,
+    )
+    task = asyncio.create_task(watch.run())
+    await asyncio.wait((task,), timeout=1)
+    assert store.calls[:2] == ['read', 'after 1']
