Reload settings that change without a signal; log why a broken file is not used

Cause (read in the code): settings were read again on SIGHUP only, although the file may change without one; a broken file was passed over without a log line; a new address of the store was ignored when nothing else had changed.

Change: the program looks at the file's identity every 2 s; reload tells its error, which is logged (108); the address of the store is always taken over.

Tests: two in tests/platform/test_program.py against the process; the first waited for ever before.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -67,6 +67,12 @@
         logging.INFO,
         'The settings file was read again; says what has changed.',
     )
+    SETTINGS_REJECTED = Event(
+        108,
+        'settings_rejected',
+        logging.ERROR,
+        'Changed settings are invalid; those before stay in force.',
+    )
     CONFIGURATION_APPLIED = Event(
         201,
         'configuration_applied',
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Protocol
 
+from result import Err, Result
 from tornado import web
 from tornado.httpserver import HTTPServer
 
@@ -44,6 +45,8 @@
 #: for the end of the process on a slowed machine.
 ENDING_PART = 0.9
 SHUTDOWN_POLL_S = 0.05
+#: Time between two looks at the settings file, in seconds.
+SETTINGS_CHECK_S = 2.0
 
 
 class Adapter(Protocol):
@@ -63,8 +66,12 @@
         """Return the endpoints besides the entry."""
         raise NotImplementedError
 
-    def reload(self) -> HostSettings | None:
-        """Read the settings again; ``None`` when they are unchanged."""
+    def settings_changed(self) -> bool:
+        """Tell whether the settings are others than those read."""
+        raise NotImplementedError
+
+    def reload(self) -> Result[HostSettings, str]:
+        """Read the settings again; an error says why they are not used."""
         raise NotImplementedError
 
 
@@ -138,6 +145,7 @@
             supervise('beats', self.beats.run),
             supervise('join', self.keeper.join),
             supervise('keep', self.keeper.keep),
+            supervise('settings', self.follow_settings),
             supervise('readiness', lambda: self.note_ready(started_at)),
             *(
                 supervise(topic.value, watch.run)
@@ -170,13 +178,25 @@
 
     def reload(self) -> None:
         """Take over changed settings that can change while running."""
-        changed = self.adapter.reload()
+        loaded = self.adapter.reload()
+        if isinstance(loaded, Err):
+            log_event(
+                events.CATALOGUE.SETTINGS_REJECTED,
+                detail=loaded.err_value,
+            )
+            return
         log_event(
             events.CATALOGUE.SETTINGS_RELOADED,
-            changed=changed is not None,
+            changed=loaded.ok_value != self.state.settings,
         )
-        if changed is not None:
-            self.state.settings = changed
+        self.state.settings = loaded.ok_value
+
+    async def follow_settings(self) -> None:
+        """Reload settings that were changed without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            if self.adapter.settings_changed():
+                self.reload()
 
     async def note_ready(self, started_at: float) -> None:
         """Log when the host becomes ready."""
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -95,6 +95,7 @@
 
     def __init__(self, path):
         self.path = path
+        self.log = path.with_suffix('.log')
         self.store = TableServer()
         self.worker = Worker()
         self.ports = {}
@@ -130,10 +131,16 @@
             'platform/start.py',
             cwd=ROOT,
             env={**os.environ, 'EGRETMILL_CONFIG': str(self.path)},
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=self.log.open('ab'),
         )
         await self.until_ready(200)
 
+    async def until_logged(self, event):
+        """Wait for an event in the log of the process."""
+        async with asyncio.timeout(PATIENCE_S):
+            while f'"{event}"' not in self.log.read_text():
+                await asyncio.sleep(0.05)
+
     async def until_ready(self, status):
         """Wait for a status of the readiness address."""
         async with asyncio.timeout(PATIENCE_S):
@@ -260,3 +267,19 @@
     await asyncio.sleep(1.5)
     assert (await world.get('entry', b'/a/1', b'id3'))[0] == 200
     assert world.worker.ran == [b'id1', b'id3']
+
+
+async def test_settings_change_without_a_signal(world):
+    """Guards against settings that wait for a signal that never comes."""
+    kept = world.path.read_text()
+    world.path.write_text(kept.replace('Grace = "4s"', 'Grace = "3s"'))
+    await world.until_logged('settings_reloaded')
+    assert '"changed": true' in world.log.read_text()
+
+
+async def test_broken_settings_change_nothing(world):
+    """Guards against a program that ends over a broken file, or hides it."""
+    world.path.write_text('[host')
+    world.process.send_signal(signal.SIGHUP)
+    await world.until_logged('settings_rejected')
+    assert (await world.get('entry', b'/a/1', b'id1'))[0] == 200
