Give each host of the soak a loopback address of its own

Change: fixed ports below the range of outgoing connections, on addresses of the run; a run that does not end is reported and counts as failed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,13 +1,12 @@
 """Command line: ``python -m soak --seeds 1-50 --jobs 3``."""
 
 import argparse
-import functools
 import pathlib
 import random
 import sys
 import tempfile
 from collections.abc import Sequence
-from concurrent.futures import ProcessPoolExecutor, as_completed
+from concurrent.futures import Future, ProcessPoolExecutor, as_completed
 
 from soak.run import Outcome, RunSize, run_seed
 
@@ -34,6 +33,16 @@
         print(f'  {violation.promise}: {violation.detail}', flush=True)
 
 
+def report_end(seed: int, play: Future[Outcome]) -> bool:
+    """Report a run; return whether it failed or did not end."""
+    error = play.exception()
+    if error is not None:
+        print(f'seed {seed}: did not end: {error!r}', flush=True)
+        return True
+    report(play.result())
+    return bool(play.result().violations)
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Play seeds; the exit status is 1 when a promise was not kept."""
     parser = argparse.ArgumentParser(prog='soak')
@@ -48,15 +57,12 @@
     size = RunSize(options.seconds, options.hosts)
     failed = 0
     with ProcessPoolExecutor(options.jobs) as pool:
-        plays = [
-            pool.submit(
-                functools.partial(run_seed, seed, size, folder / str(seed)),
-            )
+        plays = {
+            pool.submit(run_seed, seed, size, folder / str(seed)): seed
             for seed in options.seeds
-        ]
+        }
         for play in as_completed(plays):
-            report(play.result())
-            failed += bool(play.result().violations)
+            failed += report_end(plays[play], play)
     print(f'{len(plays) - failed} passed, {failed} failed')
     return 1 if failed else 0
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -64,7 +64,7 @@
     def __init__(self, folder: pathlib.Path, seed: int, size: int) -> None:
         """Prepare a run with a number of hosts."""
         self.places = [
-            HostPlace(f'h{number}', domain, REGIONS[domain])
+            HostPlace(number, f'h{number}', domain, REGIONS[domain])
             for number, domain in zip(range(size), itertools.cycle(DOMAINS))
         ]
         self.folder = folder
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -5,10 +5,10 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
+from types import MappingProxyType
 
-__all__ = ('BOUNDS', 'HostPlace', 'HostProcess', 'free_port')
+__all__ = ('HostPlace', 'HostProcess')
 
 ROOT = pathlib.Path(__file__).parents[1]
 #: Promises of the soaked fleet, as the platform would state them.
@@ -22,6 +22,18 @@
     'QuotaOverage': '0.1',
     'QuotaSlack': '20',
 }
+#: Below the range of ports for outgoing connections.
+PORTS = MappingProxyType(
+    {
+        'entry': 8686,
+        'readiness': 8680,
+        'directory': 8684,
+        'metrics': 9109,
+        'peers': 7740,
+    },
+)
+#: Last part of the first host's address.
+FIRST_NUMBER = 10
 SETTINGS = """
 [host]
 name = "{name}"
@@ -44,17 +56,21 @@
 """
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP now."""
-    with socket.socket() as found:
-        found.bind(('127.0.0.1', 0))
-        return found.getsockname()[1]
+def own_address(number: int) -> str:
+    """Return a loopback address that only this run uses.
+
+    Ports of a shared address may be taken by connections of other programs
+    before the host binds them.
+    """
+    run = os.getpid()
+    return f'127.{run >> 8 & 0xFF}.{run & 0xFF}.{number + FIRST_NUMBER}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostPlace:
-    """Where a host stands."""
+    """Where a host stands; ``number`` differs within a run."""
 
+    number: int
     name: str
     domain: str
     region: str
@@ -64,15 +80,12 @@
     """One host and its process; restarted with the same settings."""
 
     def __init__(self, place: HostPlace, folder: pathlib.Path) -> None:
-        """Choose the ports."""
+        """Choose the address."""
         self.place = place
         self.path = folder / f'{place.name}.toml'
         self.log_path = folder / f'{place.name}.log'
-        self.address = '127.0.0.1'
-        self.ports = {
-            name: free_port()
-            for name in ('entry', 'readiness', 'directory', 'metrics', 'peers')
-        }
+        self.address = own_address(place.number)
+        self.ports = PORTS
         self.process: asyncio.subprocess.Process | None = None
         self.paused = False
 
