--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -55,14 +55,14 @@
     folder = options.logs or pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
     print(f'logs of the hosts: {folder}')
     size = RunSize(options.seconds, options.hosts)
-    failed = 0
     with ProcessPoolExecutor(options.jobs) as pool:
         plays = {
             pool.submit(run_seed, seed, size, folder / str(seed)): seed
             for seed in options.seeds
         }
-        for play in as_completed(plays):
-            failed += report_end(plays[play], play)
+        failed = sum(
+            report_end(plays[play], play) for play in as_completed(plays)
+        )
     print(f'{len(plays) - failed} passed, {failed} failed')
     return 1 if failed else 0
 
