--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: install demo test lint format bench clean
+.PHONY: install demo test lint format bench soak clean
 
 install: $(VENV)/installed
 
@@ -31,5 +31,8 @@
 bench: install
 	$(BIN)/python -m bench
 
+soak: install
+	$(BIN)/python -m soak
+
 clean:
 	rm -rf $(VENV) .pytest_cache
