Look once for each difference; keep the pause after failed calls

Hosts that differ for long, as when half of them cannot reach the store, looked for the others' news in every beat, and each look cut the pause after a failed call short.

Change: a digest that was looked for counts as known, a difference that stays is looked for once a second; news do not shorten the pause after a failure.

--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -20,11 +20,14 @@
 LONGEST_ROUND_TRIP_S = 3.0
 #: Least time between two looks for changes that peers know of, in seconds.
 LOOK_S = 0.2
+#: ... and for a difference that an earlier look has not removed: hosts can
+#: differ for long, as when one still waits for a lapsed entry to return.
+LOOK_AGAIN_S = 1.0
 #: What a call brings can be younger than its proof by its duration: the wait
 #: for a change and the way to the store and back, in seconds.
 CALL_S = 1.0
-#: Own digests that are kept, to tell news from what a peer has not learned
-#: yet; the longest storm of changes that is seen on users' days has a dozen.
+#: Digests that are kept, own ones and those looked for, to tell news from
+#: what a peer has not learned yet; a storm of changes has a dozen.
 DIGESTS_KEPT = 32
 
 
@@ -224,10 +227,11 @@
         """Look for changes unless the peer is the one that is behind."""
         own_age_s = self.state.proof(topic).age(now)
         is_news = told.digest not in self.past[topic]
-        newer_s = CALL_S if is_news else 0
-        rested = now - self.looked_at.get(topic, 0) > LOOK_S
+        newer_s, rest_s = (CALL_S, LOOK_S) if is_news else (0, LOOK_AGAIN_S)
+        rested = now - self.looked_at.get(topic, 0) > rest_s
         if told.age_s - newer_s < own_age_s and rested:
             self.looked_at[topic] = now
+            self.past[topic].append(told.digest)
             self.on_difference(topic)
 
     def confirm_share(self, now: float) -> None:
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -129,7 +129,9 @@
             elif self.failures:
                 doubled_s = FIRST_PAUSE_S * 2 ** min(self.failures - 1, 4)
                 pause_s = min(doubled_s, LONGEST_PAUSE_S)
-                await self.rest(pause_s * self.rng.uniform(0.5, 1))
+                # News of peers does not shorten the pause: a store that is
+                # away or limits its calls would get more of them.
+                await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1))
 
     def poke(self) -> None:
         """Look for changes now."""
--- a/tests/host/test_beats.py
+++ b/tests/host/test_beats.py
@@ -169,3 +169,20 @@
         on_duty.append(table.on_duty(NOW))
         assert table.on_duty(NOW + 60)
     assert sum(on_duty) == DUTY_HOSTS
+
+
+def test_difference_that_stays_leads_to_few_looks():
+    """Guards against a storm of calls while hosts differ.
+
+    krc-rota-grown trouble-1: half of the hosts could not reach the store
+    and looked for the others' news in every beat.
+    """
+    beats, looks = make_beats()
+    state = beats.state
+    for step in range(40):
+        now = NOW + step * 0.05
+        state.now = lambda at=now: at
+        state.knowledge.configuration_proof.at = now - 1
+        told = beat_like(beats, sent_at=now, answers=0.0, knowledge=1)
+        beats.hear(told, ADDRESS)
+    assert len(looks) == 2
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -215,3 +215,15 @@
     task = asyncio.create_task(watch.run())
     await asyncio.wait((task,), timeout=1)
     assert store.calls[:2] == ['read', 'after 1']
+
+
+async def test_news_does_not_shorten_the_pause_after_a_failure():
+    """Guards against more calls to a store that is away."""
+    store = Script(failure(StoreProblem.UNAVAILABLE), Ok(Snapshot((), 1)))
+    watch = TableWatch(store, 't', Listener(), WatchPace(9), store.now)
+    task = asyncio.create_task(watch.run())
+    await asyncio.sleep(0.01)
+    watch.poke()
+    await asyncio.sleep(0.01)
+    assert store.calls == ['read']
+    task.cancel()
