Make one call for one piece of news

Cause: the event that ends a watch's rest was cleared only at the start of a rest with a pause.

Change: the event is cleared before the call that answers it.

Test: test_one_poke_leads_to_one_call failed before.

--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -122,6 +122,7 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            self.poked.clear()
             sent_at = self.now()
             if self.take(await self.fetch(), sent_at):
                 await self.rest(sent_at + self.pace.pause_s - self.now())
@@ -141,7 +142,6 @@
         """Wait for a time, or until somebody knows of a change."""
         if pause_s <= 0:
             return
-        self.poked.clear()
         try:
             async with asyncio.timeout(pause_s):
                 await self.poked.wait()
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -227,3 +227,22 @@
     await asyncio.sleep(0.01)
     assert store.calls == ['read']
     task.cancel()
+
+
+async def test_one_poke_leads_to_one_call():
+    """Guards against a store that one host asks without a pause.
+
+    krc-rota quiet-1: 30,247 calls in place of 611 after the first change.
+    """
+    answers = [Ok(Changes((), 1)) for _ in range(9)]
+    store = Script(Ok(Snapshot((), 1)), *answers)
+    proof = Proof()
+    proof.confirm(20.0)
+    pace = WatchPace(0, fresh_s=30)
+    watch = TableWatch(store, 't', Listener(), pace, store.now, proof)
+    task = asyncio.create_task(watch.run())
+    await asyncio.sleep(0.01)
+    watch.poke()
+    await asyncio.sleep(0.05)
+    assert store.calls == ['read', 'after 1']
+    task.cancel()
