Pass changed upstreams on from the hosts on duty

Ruled out: looking less often, which would delay the end of new work for an upstream that leaves.

Change: hosts on duty send changed records with the version of the store as of which they hold; a host that has read a newer version ignores them, others apply them as if read. Who hears of an unknown list otherwise waits 0.1 s for the news before it reads.

--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -7,9 +7,16 @@
 
 from egretmill import events
 from egretmill.fleet.knowledge import Topic
+from egretmill.host.news import NewsDesk
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
-from egretmill.peers.beat import Beat, Datagram, TokenAnswer, TokenAsk
+from egretmill.peers.beat import (
+    Beat,
+    Datagram,
+    TokenAnswer,
+    TokenAsk,
+    UpstreamNews,
+)
 from egretmill.peers.link import PeerLink
 from egretmill.peers.table import Peer
 from egretmill.shares.loans import Shortage
@@ -23,6 +30,10 @@
 #: ... and for a difference that an earlier look has not removed: hosts can
 #: differ for long, as when one still waits for a lapsed entry to return.
 LOOK_AGAIN_S = 1.0
+#: Changed upstreams come from the host on duty by themselves; a host that
+#: hears of them otherwise waits for them first: twice the longest way, in
+#: seconds.
+SETTLE_S = 0.1
 #: What a call brings can be younger than its proof by its duration: the wait
 #: for a change and the way to the store and back, in seconds.
 CALL_S = 1.0
@@ -51,25 +62,34 @@
     }
 
 
+def ignore_news(news: UpstreamNews) -> None:
+    """Take no notice of changed upstreams."""
+
+
 class Beats:
     """Sends a beat to each peer in every interval.
 
     :param on_difference: called with the topic of which a peer knows
         something else.
+    :param on_news: called with changed upstreams from a host on duty.
     """
 
     def __init__(
         self,
         state: HostState,
         on_difference: Callable[[Topic], None],
+        on_news: Callable[[UpstreamNews], None] = ignore_news,
     ) -> None:
         self.state = state
+        self.on_news = on_news
         self.on_difference = on_difference
         self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.alive: frozenset[str] = frozenset()
         self.looked_at: dict[Topic, float] = {}
         self.digests: dict[Topic, int] = {}
+        #: Unknown digest of upstreams heard last, and when first.
+        self.heard = (0, 0.0)
         self.past = {
             topic: collections.deque[int](maxlen=DIGESTS_KEPT)
             for topic in Topic
@@ -106,20 +126,26 @@
         self.note_alive(now)
         self.state.share_retries()
 
-    def note_digests(self) -> bool:
-        """Note what is known now; return whether it has changed."""
-        changed = False
+    def note_digests(self) -> None:
+        """Note what is known now."""
         for topic in Topic:
             digest = self.state.digest(topic)
             if digest != self.digests.get(topic):
                 self.digests[topic] = digest
                 self.past[topic].append(digest)
-                changed = True
-        return changed
 
-    def announce(self) -> None:
+    def announce(self, desk: NewsDesk) -> None:
         """Tell the others at once what a host on duty has learned."""
-        if self.note_digests() and self.state.on_duty():
+        if not self.state.on_duty():
+            desk.forget()
+            return
+        for news in desk.take():
+            for peer in self.state.peers.peers.values():
+                if self.link is not None:
+                    self.link.send(news, peer.address)
+        before = dict(self.digests)
+        self.note_digests()
+        if before.get(Topic.CONFIGURATION) != self.digests[Topic.CONFIGURATION]:
             self.tick()
 
     def send(
@@ -203,6 +229,8 @@
                     self.link.send(answer, address)
             case TokenAnswer() as answer:
                 self.tokens.take(answer)
+            case UpstreamNews() as news:
+                self.on_news(news)
 
     def hear(self, beat: Beat, address: tuple[str, int]) -> None:
         """Learn from a beat."""
@@ -227,6 +255,8 @@
         """Look for changes unless the peer is the one that is behind."""
         own_age_s = self.state.proof(topic).age(now)
         is_news = told.digest not in self.past[topic]
+        if is_news and not self.is_settled(topic, told.digest, now):
+            return
         newer_s, rest_s = (CALL_S, LOOK_S) if is_news else (0, LOOK_AGAIN_S)
         rested = now - self.looked_at.get(topic, 0) > rest_s
         if told.age_s - newer_s < own_age_s and rested:
@@ -234,6 +264,14 @@
             self.past[topic].append(told.digest)
             self.on_difference(topic)
 
+    def is_settled(self, topic: Topic, digest: int, now: float) -> bool:
+        """Tell whether news of others can have arrived here as well."""
+        if topic is not Topic.UPSTREAMS:
+            return True
+        if self.heard[0] != digest:
+            self.heard = (digest, now)
+        return now - self.heard[1] >= SETTLE_S
+
     def confirm_share(self, now: float) -> None:
         """Use the own part once every member is known to know the roster."""
         share = self.state.share
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -108,7 +108,7 @@
         self.updates = Updates(state)
         self.handler = EntryHandler(state)
         self.keeper = RosterKeeper(state, adapter.store)
-        self.beats = Beats(state, self.poke)
+        self.beats = Beats(state, self.poke, self.updates.hear)
         self.updates.on_read = self.beats.announce
         self.watches = {
             **adapter.watches(self.updates),
--- a/egretmill/host/updates.py
+++ b/egretmill/host/updates.py
@@ -6,8 +6,10 @@
 from egretmill import events
 from egretmill.fleet.configuration import FleetConfiguration
 from egretmill.fleet.upstreams import Upstream
+from egretmill.host.news import NewsDesk
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
+from egretmill.peers.beat import UpstreamNews
 
 __all__ = ('Updates',)
 
@@ -16,7 +18,7 @@
 RETURN_S = 2.0
 
 
-def ignore_read() -> None:
+def ignore_read(desk: NewsDesk) -> None:
     """Tell nobody."""
 
 
@@ -28,8 +30,9 @@
         self.state = state
         #: Upstreams whose entries are missing since an outage of the store.
         self.missing: dict[str, asyncio.TimerHandle] = {}
+        self.news = NewsDesk(state.settings.name)
         #: Called after each answer of the store.
-        self.on_read: Callable[[], None] = ignore_read
+        self.on_read: Callable[[NewsDesk], None] = ignore_read
 
     def configuration(self, configuration: FleetConfiguration) -> None:
         """Take a version of the configuration."""
@@ -73,6 +76,7 @@
         before = self.state.knowledge.put_upstream(upstream)
         if _is_same(before, upstream):
             return
+        self.news.put(upstream)
         log_event(
             events.CATALOGUE.UPSTREAM_CHANGED,
             upstream=upstream.name,
@@ -115,6 +119,7 @@
         if dropped is None:
             return
         self.state.upstream_gone(dropped)
+        self.news.drop(dropped)
         log_event(
             events.CATALOGUE.UPSTREAM_CHANGED,
             upstream=name,
@@ -124,6 +129,18 @@
             incarnation=dropped.incarnation,
         )
 
+    def hear(self, news: UpstreamNews) -> None:
+        """Take what a host on duty has read; older news are left aside."""
+        if not self.news.is_new(news):
+            return
+        for upstream in news.changed:
+            self.upstream(upstream)
+        for gone in news.gone:
+            known = self.state.knowledge.upstreams.by_name.get(gone.name)
+            if known is not None and known.incarnation <= gone.incarnation:
+                self.drop(gone.name)
+        self.news.forget()
+
     def malformed(self, table: str, key: str, detail: str) -> None:
         """Log and count a row that could not be used."""
         self.state.metrics.malformed.labels(table).inc()
--- a/egretmill/peers/__init__.py
+++ b/egretmill/peers/__init__.py
@@ -3,8 +3,10 @@
 from egretmill.peers.beat import (
     Beat,
     Datagram,
+    Gone,
     TokenAnswer,
     TokenAsk,
+    UpstreamNews,
     decode_datagram,
     encode_datagram,
 )
@@ -14,11 +16,13 @@
 __all__ = (
     'Beat',
     'Datagram',
+    'Gone',
     'Peer',
     'PeerLink',
     'PeerTable',
     'TokenAnswer',
     'TokenAsk',
+    'UpstreamNews',
     'beat_interval_s',
     'decode_datagram',
     'encode_datagram',
--- a/egretmill/peers/beat.py
+++ b/egretmill/peers/beat.py
@@ -4,12 +4,15 @@
 from result import Err, Ok, Result
 
 from egretmill.errors import ErrorKind, Failure
+from egretmill.fleet.upstreams import Upstream
 
 __all__ = (
     'Beat',
     'Datagram',
+    'Gone',
     'TokenAnswer',
     'TokenAsk',
+    'UpstreamNews',
     'decode_datagram',
     'encode_datagram',
 )
@@ -77,7 +80,27 @@
     wait_s: float
 
 
-Datagram = Beat | TokenAsk | TokenAnswer
+class Gone(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that is not registered any more."""
+
+    name: str
+    incarnation: int
+
+
+class UpstreamNews(msgspec.Struct, frozen=True, array_like=True, tag='news'):
+    """Upstreams that have changed in the store, from a host on duty.
+
+    :param version: of the store, as of which the records hold; a receiver
+        that has read a newer one knows better.
+    """
+
+    host: str
+    version: int
+    changed: list[Upstream] = []
+    gone: list[Gone] = []
+
+
+Datagram = Beat | TokenAsk | TokenAnswer | UpstreamNews
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Datagram)
 
