--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -1,12 +1,12 @@
 """Exchanges beats with all other hosts and learns from them."""
 
 import asyncio
-import collections
-import dataclasses
+import math
 from collections.abc import Callable
 
 from egretmill import events
 from egretmill.fleet.knowledge import Topic
+from egretmill.host.differences import Differences, knowledge_of
 from egretmill.host.news import NewsDesk
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
@@ -25,41 +25,6 @@
 
 #: An answer to an older beat proves nothing any more.
 LONGEST_ROUND_TRIP_S = 3.0
-#: Least time between two looks for changes that peers know of, in seconds.
-LOOK_S = 0.2
-#: ... and for a difference that an earlier look has not removed: hosts can
-#: differ for long, as when one still waits for a lapsed entry to return.
-LOOK_AGAIN_S = 1.0
-#: Changed upstreams come from the host on duty by themselves; a host that
-#: hears of them otherwise waits for them first: twice the longest way, in
-#: seconds.
-SETTLE_S = 0.1
-#: What a call brings can be younger than its proof by its duration: the wait
-#: for a change and the way to the store and back, in seconds.
-CALL_S = 1.0
-#: Digests that are kept, own ones and those looked for, to tell news from
-#: what a peer has not learned yet; a storm of changes has a dozen.
-DIGESTS_KEPT = 32
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Told:
-    """What a peer says of a topic.
-
-    :param age_s: age of its proof; negative when it has none.
-    """
-
-    digest: int
-    age_s: float
-
-
-def knowledge_of(beat: Beat) -> dict[Topic, Told]:
-    """Return what a beat says of each topic."""
-    return {
-        Topic.CONFIGURATION: Told(beat.knowledge, beat.knowledge_age),
-        Topic.UPSTREAMS: Told(beat.upstreams, beat.upstreams_age),
-        Topic.ROSTER: Told(beat.roster, beat.roster_age),
-    }
 
 
 def ignore_news(news: UpstreamNews) -> None:
@@ -86,14 +51,7 @@
         self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.alive: frozenset[str] = frozenset()
-        self.looked_at: dict[Topic, float] = {}
-        self.digests: dict[Topic, int] = {}
-        #: Unknown digest of upstreams heard last, and when first.
-        self.heard = (0, 0.0)
-        self.past = {
-            topic: collections.deque[int](maxlen=DIGESTS_KEPT)
-            for topic in Topic
-        }
+        self.differences = Differences(state)
 
     async def run(self) -> None:
         """Send beats until cancelled."""
@@ -114,7 +72,7 @@
     def tick(self) -> None:
         """Send one beat to each peer and note who has gone or come."""
         now = self.state.now()
-        self.note_digests()
+        self.differences.note_own()
         self.state.accounts.refresh(now)
         shortages = {
             account: (round(row.need, 4), round(row.held, 4))
@@ -126,14 +84,6 @@
         self.note_alive(now)
         self.state.share_retries()
 
-    def note_digests(self) -> None:
-        """Note what is known now."""
-        for topic in Topic:
-            digest = self.state.digest(topic)
-            if digest != self.digests.get(topic):
-                self.digests[topic] = digest
-                self.past[topic].append(digest)
-
     def announce(self, desk: NewsDesk) -> None:
         """Tell the others at once what a host on duty has learned."""
         if not self.state.on_duty():
@@ -143,9 +93,9 @@
             for peer in self.state.peers.peers.values():
                 if self.link is not None:
                     self.link.send(news, peer.address)
-        before = dict(self.digests)
-        self.note_digests()
-        if before.get(Topic.CONFIGURATION) != self.digests[Topic.CONFIGURATION]:
+        before = self.differences.digests.get(Topic.CONFIGURATION)
+        self.differences.note_own()
+        if before != self.differences.digests[Topic.CONFIGURATION]:
             self.tick()
 
     def send(
@@ -172,6 +122,7 @@
         """Return what a peer is told now."""
         state = self.state
         settings = state.settings
+        digests = self.differences.digests
         answers = 0.0
         if peer.beat is not None and now - peer.heard_at < LONGEST_ROUND_TRIP_S:
             answers = peer.beat.sent_at
@@ -184,14 +135,14 @@
             state.ready,
             now,
             answers,
-            self.digests[Topic.CONFIGURATION],
+            digests[Topic.CONFIGURATION],
             state.proof(Topic.CONFIGURATION).age(now),
-            self.digests[Topic.ROSTER],
+            digests[Topic.ROSTER],
             state.proof(Topic.ROSTER).age(now),
             shortages,
             loans,
             settings.room,
-            self.digests[Topic.UPSTREAMS],
+            digests[Topic.UPSTREAMS],
             state.proof(Topic.UPSTREAMS).age(now),
         )
 
@@ -238,39 +189,26 @@
         now = state.now()
         if not state.peers.hear(beat, address, now):
             return
-        self.note_digests()
         asked_at = beat.answers
-        is_answer = 0 < now - asked_at < LONGEST_ROUND_TRIP_S
-        if is_answer:
-            state.loans.take(beat.host, beat.loans, asked_at)
-        for topic, told in knowledge_of(beat).items():
-            if told.digest != self.digests[topic]:
-                self.note_difference(topic, told, now)
-            elif is_answer and told.age_s >= 0:
-                state.proof(topic).confirm(asked_at - told.age_s)
-        if is_answer:
-            self.confirm_share(now)
-
-    def note_difference(self, topic: Topic, told: Told, now: float) -> None:
-        """Look for changes unless the peer is the one that is behind."""
-        own_age_s = self.state.proof(topic).age(now)
-        is_news = told.digest not in self.past[topic]
-        if is_news and not self.is_settled(topic, told.digest, now):
+        if not 0 < now - asked_at < LONGEST_ROUND_TRIP_S:
+            self.compare(beat, -math.inf, now)
             return
-        newer_s, rest_s = (CALL_S, LOOK_S) if is_news else (0, LOOK_AGAIN_S)
-        rested = now - self.looked_at.get(topic, 0) > rest_s
-        if told.age_s - newer_s < own_age_s and rested:
-            self.looked_at[topic] = now
-            self.past[topic].append(told.digest)
-            self.on_difference(topic)
+        state.loans.take(beat.host, beat.loans, asked_at)
+        self.compare(beat, asked_at, now)
+        self.confirm_share(now)
+
+    def compare(self, beat: Beat, asked_at: float, now: float) -> None:
+        """Take the proofs of a peer that knows the same.
 
-    def is_settled(self, topic: Topic, digest: int, now: float) -> bool:
-        """Tell whether news of others can have arrived here as well."""
-        if topic is not Topic.UPSTREAMS:
-            return True
-        if self.heard[0] != digest:
-            self.heard = (digest, now)
-        return now - self.heard[1] >= SETTLE_S
+        :param asked_at: boot time of the beat that this one answers.
+        """
+        self.differences.note_own()
+        for topic, told in knowledge_of(beat).items():
+            if told.digest == self.differences.digests[topic]:
+                if told.age_s >= 0:
+                    self.state.proof(topic).confirm(asked_at - told.age_s)
+            elif self.differences.is_worth_a_look(topic, told, now):
+                self.on_difference(topic)
 
     def confirm_share(self, now: float) -> None:
         """Use the own part once every member is known to know the roster."""
--- a/tests/host/test_beats.py
+++ b/tests/host/test_beats.py
@@ -121,7 +121,7 @@
 def test_peer_that_is_behind_leads_to_no_look():
     """Guards against a call of each host for each beat after a change."""
     beats, looks = make_beats()
-    beats.note_digests()
+    beats.differences.note_own()
     behind = beat_like(beats, knowledge_age=0.6)
     beats.state.knowledge.evacuate(frozenset(('west-a',)))
     beats.state.knowledge.configuration_proof.confirm(boot_time())
--- a/tests/host/test_news.py
+++ b/tests/host/test_news.py
@@ -6,7 +6,8 @@
 
 from egretmill.fleet.knowledge import Topic
 from egretmill.fleet.upstreams import UpstreamState
-from egretmill.host.beats import SETTLE_S, Beats
+from egretmill.host.beats import Beats
+from egretmill.host.differences import SETTLE_S
 from egretmill.host.news import MOST_CHANGES, NewsDesk
 from egretmill.host.updates import Updates
 from egretmill.peers import Beat, UpstreamNews, decode_datagram, encode_datagram
