Send callers to the hosts with room

Ruled out: weights by repeated addresses; callers take one at random, and whether they count repeats is not said.

Change: a host states the requests per second that it bears, the lower of what its processor and its link allow.

--- a/egretmill/host/beats.py
+++ b/egretmill/host/beats.py
@@ -141,7 +141,7 @@
             state.proof(Topic.ROSTER).age(now),
             shortages,
             loans,
-            settings.room,
+            settings.capacity.room,
             digests[Topic.UPSTREAMS],
             state.proof(Topic.UPSTREAMS).age(now),
         )
--- a/egretmill/host/settings.py
+++ b/egretmill/host/settings.py
@@ -3,6 +3,8 @@
 import dataclasses
 from collections.abc import Mapping
 
+from egretmill.host.room import Capacity
+
 __all__ = ('Bounds', 'Endpoint', 'HostSettings')
 
 
@@ -63,7 +65,7 @@
 
     :param regions: region of each failure domain.
     :param peer_port: UDP port of the beats, the same on all hosts.
-    :param room: processor time that the host has, in cores.
+    :param capacity: what the machine gives the program.
     :param descriptors: files and sockets that the process may open.
     """
 
@@ -78,6 +80,6 @@
     metrics: Endpoint
     peer_port: int
     bounds: Bounds = Bounds()
-    room: float = 1
+    capacity: Capacity = Capacity()
     descriptors: int = 4096
     log_level: str = 'INFO'
--- a/egretmill/peers/beat.py
+++ b/egretmill/peers/beat.py
@@ -36,6 +36,7 @@
         proof; a negative age proves nothing.
     :param shortages: need and held fraction, by client account.
     :param loans: what the receiver may use, by client account.
+    :param room: requests per second that the host bears.
     """
 
     host: str
