--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -199,23 +199,23 @@
                 self.record.disturbed.append(span)
 
     async def apply(self, fault: Fault) -> None:
-        """Choose what a fault strikes."""
+        """Choose what a fault applies to."""
         family = fault.kind.value.partition('_')[0]
         if fault.kind in ANSWERS:
-            await self.answer_badly(fault)
+            await self.spoil_answers(fault)
             return
         match family:
             case 'host' | 'all' | 'reload':
-                await self.strike_host(fault)
+                await self.fail_host(fault)
             case 'store':
-                await self.strike_store(fault)
+                await self.fail_store(fault)
             case 'peers':
                 await self.cut_peers(fault)
             case 'entry':
                 name = self.pick(self.entries, fault)
-                await self.strike_link(self.entries[name], fault)
+                await self.fail_link(self.entries[name], fault)
             case 'upstream':
-                await self.strike_upstream(fault)
+                await self.fail_upstream(fault)
             case _:
                 await self.operate(fault)
 
@@ -224,7 +224,7 @@
         names = sorted(things)
         return names[fault.pick % len(names)]
 
-    async def strike_host(self, fault: Fault) -> None:
+    async def fail_host(self, fault: Fault) -> None:
         """Signal hosts and start them again."""
         chosen = [self.pick(self.hosts, fault)]
         if fault.kind is FaultKind.ALL_KILL:
@@ -264,7 +264,7 @@
         finally:
             self.restarting.discard(name)
 
-    async def strike_store(self, fault: Fault) -> None:
+    async def fail_store(self, fault: Fault) -> None:
         """Let the store or the way of one host to it fail."""
         name = self.pick(self.store_links, fault)
         link = self.store_links[name]
@@ -274,7 +274,7 @@
             FaultKind.STORE_DELAY,
             FaultKind.STORE_RESET,
         }:
-            await self.strike_link(link, fault)
+            await self.fail_link(link, fault)
             return
         faults = self.operator.store.faults
         match fault.kind:
@@ -321,7 +321,7 @@
                 link = self.upstream_links[upstream.name]
                 self.operator.register(upstream, link.address)
 
-    async def strike_link(self, link: TcpLink, fault: Fault) -> None:
+    async def fail_link(self, link: TcpLink, fault: Fault) -> None:
         """Cut, slow down or reset a link."""
         way = fault.kind.value
         if way.endswith('reset'):
@@ -346,7 +346,7 @@
         await asyncio.sleep(fault.for_s)
         pair.lost = frozenset()
 
-    async def strike_upstream(self, fault: Fault) -> None:
+    async def fail_upstream(self, fault: Fault) -> None:
         """Cut, crash, replace or drain an upstream."""
         present = {
             name: row
@@ -368,7 +368,7 @@
             case FaultKind.UPSTREAM_DRAIN:
                 await self.drain(upstream)
             case _:
-                await self.strike_link(self.upstream_links[name], fault)
+                await self.fail_link(self.upstream_links[name], fault)
 
     async def replace(self, upstream: SoakUpstream, fault: Fault) -> None:
         """Crash an upstream; another takes its place or its address."""
@@ -400,13 +400,13 @@
         upstream.crash()
         self.operator.unregister(upstream.name)
 
-    async def answer_badly(self, fault: Fault) -> None:
+    async def spoil_answers(self, fault: Fault) -> None:
         """Let an upstream spoil a part of its answers."""
         upstream = self.upstreams[self.pick(self.upstreams, fault)]
         upstream.answering = ANSWERS[fault.kind]
         upstream.share = 0.5 if fault.pick % 2 else 1
         await asyncio.sleep(fault.for_s)
-        upstream.answering = Answering.WELL
+        upstream.answering = Answering.NORMALLY
 
     async def operate(self, fault: Fault) -> None:
         """Do planned work, or let more callers come."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -109,7 +109,7 @@
                 writer.close()
 
 
-class Face(asyncio.DatagramProtocol):
+class PairEndpoint(asyncio.DatagramProtocol):
     """The end of a datagram pair that stands for one host."""
 
     def __init__(self, pair: 'DatagramPair', host: str) -> None:
@@ -123,43 +123,43 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Pass a datagram on from the face of its sender."""
+        """Pass a datagram on from the endpoint of its sender."""
         self.pair.forward(self.host, data)
 
 
 class DatagramPair:
-    """Datagrams between two hosts, which see each other at its faces."""
+    """Datagrams between two hosts, which see each other at its endpoints."""
 
     def __init__(self, hosts: dict[str, tuple[str, int]]) -> None:
         """Connect two hosts with their real addresses."""
         self.hosts = hosts
-        self.faces: dict[str, Face] = {}
+        self.endpoints: dict[str, PairEndpoint] = {}
         self.lost: frozenset[str] = frozenset()
 
     async def open(self) -> None:
-        """Open both faces."""
+        """Open both endpoints."""
         loop = asyncio.get_running_loop()
         for name in self.hosts:
-            face = Face(self, name)
+            endpoint = PairEndpoint(self, name)
             await loop.create_datagram_endpoint(
-                lambda made=face: made,
+                lambda made=endpoint: made,
                 local_addr=('127.0.0.1', 0),
             )
-            self.faces[name] = face
+            self.endpoints[name] = endpoint
 
     def address(self, host: str) -> tuple[str, int]:
         """Return where the other host finds a host."""
-        return self.faces[host].transport.get_extra_info('sockname')
+        return self.endpoints[host].transport.get_extra_info('sockname')
 
     def forward(self, receiver: str, content: bytes) -> None:
         """Send on unless datagrams to the receiver are lost."""
         if receiver in self.lost:
             return
         sender = next(name for name in self.hosts if name != receiver)
-        face = self.faces[sender]
-        face.transport.sendto(content, self.hosts[receiver])
+        endpoint = self.endpoints[sender]
+        endpoint.transport.sendto(content, self.hosts[receiver])
 
     def close(self) -> None:
-        """Close both faces."""
-        for face in self.faces.values():
-            face.transport.close()
+        """Close both endpoints."""
+        for endpoint in self.endpoints.values():
+            endpoint.transport.close()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -18,7 +18,7 @@
 class Answering(enum.StrEnum):
     """How an upstream answers."""
 
-    WELL = 'well'
+    NORMALLY = 'normally'
     SLOWLY = 'slowly'
     NEVER = 'never'
     LOST = 'lost'
@@ -44,7 +44,7 @@
     record: Record
     clock: asyncio.AbstractEventLoop
     rng: random.Random
-    answering: Answering = Answering.WELL
+    answering: Answering = Answering.NORMALLY
     share: float = 1
     server: asyncio.Server | None = None
     running: int = 0
@@ -91,7 +91,7 @@
             return True
         way = self.answering
         if self.rng.random() > self.share:
-            way = Answering.WELL
+            way = Answering.NORMALLY
         if way is Answering.SHEDDING or self.running >= 3 * SLOTS:
             writer.write(answer(503, identifier, 'Egretmill-Not-Executed: 1'))
             return True
