Let a host that restarts before the others know it wait for their lease

Cause: a host that was new in the roster and restarted within the lease of the others (6 s) found its own entry, took it for that of an established incarnation and used its fraction of the rates after 1 s, while another host could still divide them without it: fractions in use added up to 1.5. An answer of the store that was lost during the first write had the same effect.

Change: the entry says whether the first wait has ended (known_by_all), which its host writes once. Without it, a restart waits for the lease, or until all members confirm the roster, but never less than the longest loan, since the earlier incarnation may have lent. A suspicion keeps the rest of the entry.

--- a/egretmill/host/roster_keeper.py
+++ b/egretmill/host/roster_keeper.py
@@ -38,11 +38,14 @@
     """Content of a row: where the host receives heartbeats.
 
     :param suspected: another host has received no heartbeats from it.
+    :param known_by_all: every other host counts this one, so a restarted
+        incarnation need not wait for them.
     """
 
     address: str
     port: int
     suspected: bool = False
+    known_by_all: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,35 +65,45 @@
         self.state = state
         self.store = store
         self.rows: dict[str, RosterRow] = {}
+        #: Versions of all rows when they were last read, malformed ones too.
+        self.row_versions: dict[str, int] = {}
         self.joined_at = math.inf
 
     async def join(self) -> None:
         """Write the own entry until stored; its version is the incarnation."""
-        settings = self.state.settings
         while True:
             read = await self.store.read(ROSTER_TABLE)
             if isinstance(read, Ok):
-                versions = {row.key: row.version for row in read.ok_value.rows}
-                expected_version = versions.get(settings.name, 0)
-                if await self.write_own_entry(expected_version):
+                self.replace_rows(read.ok_value.rows)
+                if await self.write_own_entry():
                     return
             await asyncio.sleep(JOIN_RETRY_S)
 
-    async def write_own_entry(self, expected_version: int) -> bool:
-        """Try to write the own entry; return whether it is stored."""
+    async def write_own_entry(self) -> bool:
+        """Try to write the own entry; return whether it is stored.
+
+        A host whose earlier incarnation ended before the others had to know
+        of it waits as long as a new one.
+        """
         settings = self.state.settings
-        entry = RosterEntry(settings.address, settings.peer_port)
-        row = RowKey(ROSTER_TABLE, settings.name)
-        write = Write(row, msgspec.json.encode(entry), expected_version)
-        written = await self.store.transact((write,))
-        if isinstance(written, Err):
-            self.log_store_failure('join', written.err_value)
+        previous = self.rows.get(settings.name)
+        was_known = previous is not None and previous.entry.known_by_all
+        entry = RosterEntry(
+            settings.address, settings.peer_port, known_by_all=was_known
+        )
+        expected_version = self.row_versions.get(settings.name, 0)
+        stored_version = await self.write_entry(
+            settings.name, entry, expected_version, 'join'
+        )
+        if stored_version is None:
             return False
-        self.state.incarnation = written.ok_value
+        self.state.incarnation = stored_version
         self.joined_at = self.state.now()
-        activation_delay_s = LOAN_S if expected_version else ROSTER_LEASE_S
+        activation_delay_s = LOAN_S if was_known else ROSTER_LEASE_S
         self.state.share.record_joined(
-            self.state.now(), activation_delay_s, is_new=not expected_version
+            self.state.now(),
+            activation_delay_s,
+            min_wait_s=LOAN_S if expected_version else 0,
         )
         log_event(
             events.CATALOGUE.ROSTER_JOINED,
@@ -100,6 +113,25 @@
         )
         return True
 
+    async def write_entry(
+        self,
+        name: str,
+        entry: RosterEntry,
+        expected_version: int,
+        action: str,
+    ) -> int | None:
+        """Write an entry; return its version, or log a failure."""
+        write = Write(
+            RowKey(ROSTER_TABLE, name),
+            msgspec.json.encode(entry),
+            expected_version,
+        )
+        written = await self.store.transact((write,))
+        if isinstance(written, Err):
+            self.log_store_failure(action, written.err_value)
+            return None
+        return written.ok_value
+
     async def maintain(self) -> None:
         """Maintain the roster until cancelled."""
         while True:
@@ -108,10 +140,12 @@
             await self.remove_dead_hosts()
 
     async def maintain_own_entry(self) -> None:
-        """Clear a suspicion of this host; join again if its entry was removed.
+        """Keep the entry of this host in line with its state.
 
-        Another host removes the entry after a long time without heartbeats,
-        for example when this one was suspended or partitioned from the others.
+        Clears a suspicion, records the end of the first wait, and joins again
+        if the entry was removed. Another host removes the entry after a long
+        time without heartbeats, for example when this one was suspended or
+        partitioned from the others.
         """
         share = self.state.share
         own = self.rows.get(share.host)
@@ -119,6 +153,17 @@
             await self.join()
         elif own is not None and own.entry.suspected:
             await self.set_suspected(share.host, own, suspected=False)
+        elif own is not None and not own.entry.known_by_all:
+            await self.record_known_by_all(own)
+
+    async def record_known_by_all(self, own: RosterRow) -> None:
+        """Record in the store that the first wait of this host has ended."""
+        if self.state.now() < self.state.share.active_at:
+            return
+        entry = msgspec.structs.replace(own.entry, known_by_all=True)
+        await self.write_entry(
+            self.state.share.host, entry, own.version, 'record'
+        )
 
     async def remove_dead_hosts(self) -> None:
         """Suspect hosts that send no heartbeats, then remove them.
@@ -160,12 +205,9 @@
         self, name: str, row: RosterRow, *, suspected: bool
     ) -> None:
         """Set or clear a suspicion, unless the entry has changed meanwhile."""
-        entry = RosterEntry(row.entry.address, row.entry.port, suspected)
-        content = msgspec.json.encode(entry)
-        write = Write(RowKey(ROSTER_TABLE, name), content, row.version)
-        written = await self.store.transact((write,))
-        if isinstance(written, Err):
-            self.log_store_failure('mark', written.err_value)
+        entry = msgspec.structs.replace(row.entry, suspected=suspected)
+        written = await self.write_entry(name, entry, row.version, 'mark')
+        if written is None:
             return
         log_event(
             events.CATALOGUE.ROSTER_MARKED,
@@ -185,6 +227,7 @@
 
     def replace_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Replace the roster."""
+        self.row_versions = {row.key: row.version for row in rows}
         present = {row.key for row in rows}
         for name in self.rows.keys() - present:
             self.rows.pop(name)
--- a/egretmill/shares/roster.py
+++ b/egretmill/shares/roster.py
@@ -51,7 +51,8 @@
     :param members: hosts in the roster as last read.
     :param freshness: when the roster was last known to be current.
     :param active_at: boot time from which this host uses its fraction.
-    :param is_new: whether this host's entry did not exist before it joined.
+    :param earliest_at: boot time until which a previous incarnation of this
+        host may still lend its fraction.
     :param stale_fraction: part of the fraction that is used with a stale
         roster; with 0, the fractions never add up to more than one.
     """
@@ -60,32 +61,30 @@
     members: frozenset[str] = frozenset()
     freshness: Freshness = dataclasses.field(default_factory=Freshness)
     active_at: float = math.inf
-    is_new: bool = False
+    earliest_at: float = 0
     stale_fraction: float = 0
     previous_rosters: list[PreviousRoster] = dataclasses.field(
         default_factory=list
     )
 
-    def record_joined(self, now: float, wait_s: float, *, is_new: bool) -> None:
+    def record_joined(
+        self, now: float, wait_s: float, *, min_wait_s: float = 0
+    ) -> None:
         """Record that this host's entry is in the store.
 
         :param wait_s: time until the fraction may be used: the lease of the
-            other hosts for a new entry, the longest loan for one that a
-            previous incarnation of this host has left.
-        :param is_new: whether the entry did not exist before.
+            other hosts, or the longest loan if they all know the entry.
+        :param min_wait_s: wait for the loans of a previous incarnation, which
+            :meth:`record_known_by_all` does not shorten.
         """
-        self.is_new = is_new
+        self.earliest_at = now + min_wait_s
+        if min_wait_s:
+            self.earliest_at += MARGIN_S
         self.active_at = now + wait_s + MARGIN_S
 
     def record_known_by_all(self, now: float) -> None:
-        """Record that every other member knows the roster with this host.
-
-        A restarted host still waits until the loans of its previous
-        incarnation have ended.
-        """
-        if not self.is_new:
-            return
-        self.active_at = min(self.active_at, now)
+        """Record that every other member knows the roster with this host."""
+        self.active_at = min(self.active_at, max(now, self.earliest_at))
 
     def apply_roster(
         self, members: Iterable[str], sent_at: float, now: float
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -104,7 +104,7 @@
     """Return the state of a host that is ready to serve."""
     state = HostState.from_settings(SETTINGS, DIALECT)
     now = boot_time()
-    state.share.record_joined(now - 60, 0, is_new=False)
+    state.share.record_joined(now - 60, 0)
     state.share.apply_roster(('h1',), now, now)
     state.update_retry_allowance()
     state.apply_configuration(configuration(**changes))
--- a/tests/host/test_remote_tokens.py
+++ b/tests/host/test_remote_tokens.py
@@ -60,7 +60,7 @@
     for name in NAMES:
         settings = dataclasses.replace(SETTINGS, name=name)
         state = HostState.from_settings(settings, DIALECT)
-        state.share.record_joined(now - 60, 0, is_new=False)
+        state.share.record_joined(now - 60, 0)
         state.share.apply_roster(NAMES, now, now)
         state.accounts.apply({'small': SMALL}, now - 5)
         state.accounts.refresh(now - 4)
--- a/tests/host/test_roster_keeper.py
+++ b/tests/host/test_roster_keeper.py
@@ -15,6 +15,7 @@
     RosterKeeper,
 )
 from egretmill.peers.datagrams import Heartbeat
+from egretmill.shares.loans import LOAN_S
 from egretmill.shares.roster import ROSTER_LEASE_S
 from egretmill.tables import (
     Snapshot,
@@ -186,3 +187,49 @@
     )
     first.run(first.keeper.remove_dead_hosts)
     assert not first.store.entry('b').suspected
+
+
+def restart(host):
+    """Return the next incarnation of a host, which joins the roster."""
+    restarted = Host(host.store, host.state.share.host)
+    restarted.time = host.time
+    restarted.run(restarted.keeper.join)
+    return restarted
+
+
+def test_restart_before_the_others_know_the_host_waits_for_their_lease():
+    """Guards against shares of a rate that add up to more than one.
+
+    Another host may divide the rate without the new host for a whole lease.
+    """
+    store = Store()
+    first = Host(store, 'a')
+    first.run(first.keeper.join)
+    restarted = restart(first)
+    restarted.time += LOAN_S + 1
+    restarted.run(restarted.read)
+    assert restarted.state.share.fraction(restarted.time) == 0
+
+
+def test_restart_of_a_known_host_waits_for_its_loans_only():
+    """Guards against seconds of refusals after each restart."""
+    first, _ = hosts('a', 'b')
+    first.time += ROSTER_LEASE_S + 1
+    first.run(first.keeper.maintain_own_entry)
+    restarted = restart(first)
+    restarted.time += LOAN_S + 1
+    restarted.run(restarted.read)
+    assert restarted.state.share.fraction(restarted.time) > 0
+
+
+def test_suspicion_keeps_the_record_of_the_first_wait():
+    """Guards against a long wait after each suspicion of a restarted host."""
+    first, second = hosts('a', 'b')
+    advance_time((first, second), SUSPECT_AFTER_S)
+    second.run(second.keeper.maintain_own_entry)
+    first.run(first.read)
+    advance_time((first, second), SUSPECT_AFTER_S)
+    first.run(first.keeper.remove_dead_hosts)
+    entry = first.store.entry('b')
+    assert entry.suspected
+    assert entry.known_by_all
--- a/tests/shares/test_accounts.py
+++ b/tests/shares/test_accounts.py
@@ -30,7 +30,7 @@
         self.name = name
         share = FleetShare(name)
         share.apply_roster(members, now, now)
-        share.record_joined(now - 10, 0, is_new=False)
+        share.record_joined(now - 10, 0)
         self.loans = LoanBook()
         self.share = share
         self.limits = AccountLimits(share, self.loans, tolerance)
--- a/tests/shares/test_roster.py
+++ b/tests/shares/test_roster.py
@@ -18,7 +18,7 @@
     """Return the share of a host that has joined and may use it."""
     share = FleetShare(host)
     share.apply_roster(members, now, now)
-    share.record_joined(now - ROSTER_LEASE_S, 0, is_new=True)
+    share.record_joined(now - ROSTER_LEASE_S, 0)
     return share
 
 
@@ -33,7 +33,7 @@
     """Guards against a new fraction while others count fewer hosts."""
     share = FleetShare('b')
     share.apply_roster(('a', 'b'), NOW, NOW)
-    share.record_joined(NOW, ROSTER_LEASE_S, is_new=True)
+    share.record_joined(NOW, ROSTER_LEASE_S)
     assert share.fraction(NOW + ROSTER_LEASE_S) == 0
     share.freshness.confirm(NOW + ROSTER_LEASE_S)
     assert share.fraction(NOW + ROSTER_LEASE_S + 1) == pytest.approx(0.5)
@@ -43,7 +43,7 @@
     """Guards against a wait that is longer than needed."""
     share = FleetShare('b')
     share.apply_roster(('a', 'b'), NOW, NOW)
-    share.record_joined(NOW, ROSTER_LEASE_S, is_new=True)
+    share.record_joined(NOW, ROSTER_LEASE_S)
     share.record_known_by_all(NOW + 0.5)
     assert share.fraction(NOW + 0.5) == pytest.approx(0.5)
 
@@ -52,7 +52,7 @@
     """Guards against using a fraction that a previous run has lent."""
     share = FleetShare('b')
     share.apply_roster(('a', 'b'), NOW, NOW)
-    share.record_joined(NOW, 1.0, is_new=False)
+    share.record_joined(NOW, 1.0, min_wait_s=1.0)
     share.record_known_by_all(NOW + 0.1)
     assert share.fraction(NOW + 0.9) == 0
     assert share.fraction(NOW + 1.3) == pytest.approx(0.5)
@@ -102,7 +102,7 @@
 def joining_share(name, roster, now):
     """Return the share of a host that has just written its entry."""
     share = FleetShare(name)
-    share.record_joined(now, ROSTER_LEASE_S, is_new=True)
+    share.record_joined(now, ROSTER_LEASE_S)
     share.apply_roster(roster, now, now)
     return share
 
