Bound heads, framing and buffered bodies of upstream responses

Cause: a response head, interim responses, chunk extensions and trailers had no limit, so bytes without end were buffered until the call's deadline; each body could take 16 MiB, whatever the other connections buffered.

Change: bytes that are not part of a body are limited to 64 KiB plus the overhead of one-byte chunks; the bodies that all connections of a host buffer share 64 MiB. A response beyond a limit fails as malformed, its connection is reset, and the outcome of the request stays unknown.

--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -8,7 +8,12 @@
 from egretmill.fleet.configuration import Service
 from egretmill.fleet.view import FleetView
 from egretmill.fleet.upstreams import Upstream
-from egretmill.http1 import CallFailure, ClientConnection, connect
+from egretmill.http1 import (
+    BufferBudget,
+    CallFailure,
+    ClientConnection,
+    connect,
+)
 from egretmill.placement.load import UpstreamLoad
 from egretmill.placement.rendezvous import rendezvous_order
 from egretmill.shares.roster import FleetShare, owners_of
@@ -49,6 +54,7 @@
         self.idle: dict[str, collections.deque[ClientConnection]] = {}
         self.cached_orders: dict[OrderKey, tuple[UpstreamLoad, ...]] = {}
         self.generation = -1
+        self.buffers = BufferBudget()
 
     def update(self, upstream: Upstream, before: Upstream | None) -> None:
         """Apply a record; a new incarnation resets the upstream's state."""
@@ -144,8 +150,9 @@
                 return Ok(connection)
             connection.abort()
         record = load.record
-        opened = await connect(record.address, record.port, timeout_s)
-        return opened
+        return await connect(
+            record.address, record.port, timeout_s, self.buffers
+        )
 
     def release(self, load: UpstreamLoad, connection: ClientConnection) -> None:
         """Keep a connection for the next request, or close it."""
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -12,6 +12,7 @@
     connect,
 )
 from egretmill.http1.messages import Body, RequestHead, Response
+from egretmill.http1.response_reader import BufferBudget
 from egretmill.http1.server import (
     ConnectionLimits,
     PendingAnswer,
@@ -21,6 +22,7 @@
 
 __all__ = (
     'Body',
+    'BufferBudget',
     'Call',
     'CallFailure',
     'ClientConnection',
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import functools
 
 from result import Err, Ok, Result
 
@@ -14,7 +15,7 @@
     TruncatedBodyError,
     encode_headers,
 )
-from egretmill.http1.response_reader import ResponseReader
+from egretmill.http1.response_reader import BufferBudget, ResponseReader
 from egretmill.http1.transport import ConnectionTransport
 
 __all__ = ('Call', 'CallFailure', 'ClientConnection', 'FailureCause', 'connect')
@@ -107,9 +108,13 @@
         seconds; ``None`` if it does not say.
     """
 
-    def __init__(self) -> None:
-        """Create the state of a connection that has no transport yet."""
+    def __init__(self, budget: BufferBudget | None = None) -> None:
+        """Create the state of a connection that has no transport yet.
+
+        :param budget: limit of buffered bytes, shared between connections.
+        """
         super().__init__()
+        self.budget = budget or BufferBudget()
         self.reader: ResponseReader | None = None
         self.call: Call | None = None
         self.waiter: asyncio.Future[CallResult] | None = None
@@ -204,7 +209,9 @@
             return None
         self.sent = True
         self.calls += 1
-        self.reader = ResponseReader(self, bodiless=call.method == b'HEAD')
+        self.reader = ResponseReader(
+            self, self.budget, bodiless=call.method == b'HEAD'
+        )
         head = call.encode_head()
         if call.body.complete and call.body.replayable:
             self.write(head + b''.join(call.body.chunks))
@@ -253,6 +260,8 @@
     def _end_call(self) -> None:
         self.call = None
         self.waiter = None
+        if self.reader is not None:
+            self.reader.close()
         self.reader = None
         self.idle_since = self.loop.time()
         if not self.reusable:
@@ -263,16 +272,18 @@
     address: str,
     port: int,
     timeout_s: float,
+    budget: BufferBudget | None = None,
 ) -> Result[ClientConnection, CallFailure]:
     """Open a connection; on failure, no request bytes were sent.
 
     :param timeout_s: longest time for connecting, in seconds.
+    :param budget: limit of buffered bytes, shared between connections.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                ClientConnection,
+                functools.partial(ClientConnection, budget),
                 address,
                 port,
             )
--- a/egretmill/http1/response_reader.py
+++ b/egretmill/http1/response_reader.py
@@ -1,15 +1,23 @@
 """Parses the bytes that an upstream sends into responses."""
 
+import dataclasses
 from typing import Protocol
 
 import httptools
 
 from egretmill.http1.messages import Response
 
-__all__ = ('ResponseReader', 'ResponseSink')
+__all__ = ('BufferBudget', 'ResponseReader', 'ResponseSink')
 
 #: Longest response body; responses are buffered in memory.
 RESPONSE_LIMIT_BYTES = 16 << 20
+#: Longest head of a response, with the interim responses before it.
+HEAD_LIMIT_BYTES = 64 << 10
+#: Bytes of chunk framing that are accepted for each byte of a body, since
+#: chunks of one byte are valid.
+CHUNK_OVERHEAD_RATIO = 8
+#: Response bodies of all connections that are buffered at the same time.
+BUFFER_LIMIT_BYTES = 64 << 20
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -26,33 +34,72 @@
         raise NotImplementedError
 
 
+@dataclasses.dataclass(slots=True)
+class BufferBudget:
+    """Limits the response bytes that all connections buffer together."""
+
+    limit_bytes: int = BUFFER_LIMIT_BYTES
+    used_bytes: int = 0
+
+    def try_add(self, size: int) -> bool:
+        """Count buffered bytes; return whether the limit allows them."""
+        if self.used_bytes + size > self.limit_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Count bytes as no longer buffered."""
+        self.used_bytes -= size
+
+
 class ResponseReader:
     """Parser of the responses to one call, with its callbacks.
 
+    :param budget: buffered bytes of all connections.
     :param bodiless: the response has no body, whatever its headers say.
     :param reads_until_close: the body ends when the connection is closed.
     :param reusable: the connection can carry another call.
     """
 
-    def __init__(self, sink: ResponseSink, *, bodiless: bool) -> None:
+    def __init__(
+        self, sink: ResponseSink, budget: BufferBudget, *, bodiless: bool
+    ) -> None:
         """Create a parser that reports to a sink."""
         self.sink = sink
+        self.budget = budget
         self.bodiless = bodiless
         self.parser = httptools.HttpResponseParser(self)
         self.response = Response(0)
         self.chunks: list[bytes] = []
         self.received_bytes = 0
+        #: Bytes of heads, chunk framing and trailers.
+        self.framing_bytes = 0
         self.reads_until_close = False
         self.reusable = True
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes.
+
+        The parser itself accepts heads, chunk extensions and trailers of any
+        length.
+        """
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.sink.response_rejected('protocol upgrade')
         except httptools.HttpParserError as error:
             self.sink.response_rejected(str(error))
+        allowed = HEAD_LIMIT_BYTES + CHUNK_OVERHEAD_RATIO * self.received_bytes
+        if self.framing_bytes > allowed:
+            self.sink.response_rejected('head or framing too long')
+
+    def close(self) -> None:
+        """Drop a response that will not be completed."""
+        self.budget.release(self.received_bytes)
+        self.received_bytes = 0
+        self.chunks = []
 
     def connection_closed(self) -> None:
         """End a response whose body extends to the close."""
@@ -61,9 +108,8 @@
 
     def on_message_begin(self) -> None:
         """Start a new response."""
+        self.close()
         self.response = Response(0)
-        self.chunks = []
-        self.received_bytes = 0
         self.reads_until_close = False
 
     def on_header(self, name: bytes, text: bytes) -> None:
@@ -92,10 +138,14 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Append a chunk of the body, up to the size limit."""
-        self.received_bytes += len(chunk)
-        if self.received_bytes > RESPONSE_LIMIT_BYTES:
+        self.framing_bytes -= len(chunk)
+        if self.received_bytes + len(chunk) > RESPONSE_LIMIT_BYTES:
             self.sink.response_rejected('response too long')
             return
+        if not self.budget.try_add(len(chunk)):
+            self.sink.response_rejected('too many buffered responses')
+            return
+        self.received_bytes += len(chunk)
         self.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
