Tell objects apart by route when upstreams are chosen

The host counted such upstreams as warm, and all routes of an object shared one preferred upstream.

Change: the key of an object contains its route, for the order of upstreams and for what counts as warm.

--- a/egretmill/host/request_check.py
+++ b/egretmill/host/request_check.py
@@ -32,6 +32,8 @@
 class AcceptedRequest:
     """A checked request that may be sent to an upstream.
 
+    :param object_key: the route and the object, because an upstream that has
+        handled an object on one route is still cold for it on another.
     :param deadline_at: boot time at which the final answer is due.
     :param home_regions: regions that may run it; empty allows all.
     """
@@ -86,7 +88,7 @@
             route,
             _pick_service(route.destinations, rng),
             account.ok_value,
-            _object_key(head, state.dialect, rng),
+            f'{route.name}/{_object_key(head, state.dialect, rng)}',
             head.received_at + _request_timeout_s(head, route, state.dialect),
             home_regions,
             configuration.version,
