Keep objects at their first upstreams under load

Each fault spreads objects over upstreams, which then push each other's objects out of memory.

Change: the cost of a rank in the order rises from 0.04 to 0.2 of the service time at a cold upstream.

--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -18,7 +18,7 @@
 FIRST_COMPARED = 12
 #: Cost of each rank in the order, relative to the service time at a cold
 #: upstream. Keeps an object at its first upstreams while loads are equal.
-RANK_COST_RATIO = 0.04
+RANK_COST_RATIO = 0.2
 #: Limit of running and queued requests per slot of an upstream. Upstreams
 #: queue up to three requests per slot, but a request that waits there can no
 #: longer be sent to another upstream.
