Measure round trips in place of an assumed one

Hypothesis: the assumed 40 ms to another region is wrong elsewhere, and the service times contained the round trips and the opening of connections, so that waits were estimated with the wrong room.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -15,6 +15,7 @@
 from egretmill.fleet.upstreams import Upstream
 from egretmill.placement import (
     LoadReport,
+    RoundTrips,
     SelectedUpstream,
     ServiceTimes,
     UpstreamLoad,
@@ -148,7 +149,7 @@
         """Choose an upstream for a job and send it there."""
         selector = UpstreamSelector(
             job.object_key,
-            'r',
+            RoundTrips(),
             self.service_times[job.host],
             self.load.target_s,
             self.load.timeout_s,
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -58,6 +58,7 @@
 
     :param maybe_run: an upstream may have run the request.
     :param in_flight: the request is at an upstream now.
+    :param sent_at: when the request was last sent to an upstream.
     :param retry_reserved: the next attempt is already counted in the retry
         budget.
     :param tried: upstreams that got the request.
@@ -69,6 +70,7 @@
     accepted: AcceptedRequest
     maybe_run: bool = False
     in_flight: bool = False
+    sent_at: float = 0
     retry_reserved: bool = False
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -131,9 +133,8 @@
         return None
 
     async def _run_attempts(self) -> Result[Response, Refusal]:
-        self.state.budget.record_request(
-            self.accepted.service, self.state.now()
-        )
+        now = self.state.now()
+        self.state.budget.record_request(self.accepted.service, now)
         while True:
             selected = self._select_upstream()
             if isinstance(selected, Err):
@@ -162,21 +163,23 @@
     def _choose_untried(self) -> SelectedUpstream | NoCapacity | NoUpstream:
         """Choose among the upstreams that this request was not sent to."""
         accepted = self.accepted
-        settings = self.state.settings
         order = self.state.pool.preference_order(
             accepted.service,
             accepted.object_key,
             accepted.home_regions,
             near_first=accepted.route.kind is RouteKind.UPLOAD,
         )
+        service_times = self.service_times
+        target_s = accepted.route.target_latency_s
+        now = self.state.now()
         selector = UpstreamSelector(
             accepted.object_key,
-            settings.region,
-            self.service_times,
-            accepted.route.target_latency_s,
+            self.state.pool.round_trips,
+            service_times,
+            target_s,
             self.remaining_s,
             accepted.route.is_idempotent,
-            self.state.now(),
+            now,
         )
         untried = [row for row in order if row.record.name not in self.tried]
         return selector.choose(untried)
@@ -209,7 +212,7 @@
         if attempt_result.load_report is not None:
             load.record_report(attempt_result.load_report, now)
         if attempt_result.handled:
-            _record_latency(self, selected, now - started_at)
+            _record_latency(self, selected, now - self.sent_at)
         self.maybe_run = self.maybe_run or attempt_result.maybe_run
         if attempt_result.response is not None:
             return Ok(attempt_result.response)
@@ -233,6 +236,7 @@
         self.attempts += 1
         self.tried.add(record.name)
         now = self.state.now()
+        self.sent_at = now
         head = self.pending.head
         call = Call(
             head.method,
@@ -344,9 +348,8 @@
 ) -> None:
     """Record the latency for the service times and the upstream's load."""
     if selected.has_free_slot:
-        exchange.service_times.add(
-            max(took_s, MIN_SERVICE_TIME_SAMPLE_S), warm=selected.is_warm
-        )
+        service_s = max(took_s - selected.rtt_s, MIN_SERVICE_TIME_SAMPLE_S)
+        exchange.service_times.add(service_s, warm=selected.is_warm)
     selected.load.record_response(
         exchange.accepted.object_key,
         took_s,
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -16,6 +16,7 @@
 )
 from egretmill.placement.load import UpstreamLoad
 from egretmill.placement.rendezvous import rendezvous_order
+from egretmill.placement.round_trips import RoundTrips
 from egretmill.shares.roster import FleetShare, owners_of
 
 __all__ = ('UpstreamPool',)
@@ -55,6 +56,7 @@
         self.cached_orders: dict[OrderKey, tuple[UpstreamLoad, ...]] = {}
         self.generation = -1
         self.buffers = BufferBudget()
+        self.round_trips = RoundTrips()
 
     def update(self, upstream: Upstream, before: Upstream | None) -> None:
         """Apply a record; a new incarnation resets the upstream's state."""
@@ -150,9 +152,12 @@
                 return Ok(connection)
             connection.abort()
         record = load.record
-        return await connect(
+        opened = await connect(
             record.address, record.port, timeout_s, self.buffers
         )
+        if isinstance(opened, Ok):
+            self.round_trips.add(record.region, self.view.now() - now)
+        return opened
 
     def release(self, load: UpstreamLoad, connection: ClientConnection) -> None:
         """Keep a connection for the next request, or close it."""
--- a/egretmill/placement/__init__.py
+++ b/egretmill/placement/__init__.py
@@ -9,12 +9,14 @@
 from egretmill.placement.slow_start import SlowStartLimit
 from egretmill.placement.load import LoadReport, UpstreamLoad
 from egretmill.placement.rendezvous import rendezvous_order
+from egretmill.placement.round_trips import RoundTrips
 from egretmill.placement.service_times import ServiceTimes
 
 __all__ = (
     'LoadReport',
     'NoCapacity',
     'NoUpstream',
+    'RoundTrips',
     'SelectedUpstream',
     'ServiceTimes',
     'SlowStartLimit',
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from egretmill.placement.load import UpstreamLoad
+from egretmill.placement.round_trips import RoundTrips
 from egretmill.placement.service_times import ServiceTimes
 
 __all__ = ('NoCapacity', 'NoUpstream', 'SelectedUpstream', 'UpstreamSelector')
@@ -23,10 +24,6 @@
 #: queue up to three requests per slot, but a request that waits there can no
 #: longer be sent to another upstream.
 MAX_REQUESTS_PER_SLOT = 2.0
-#: Lower bound of the accepted wait for a slot, relative to the target latency.
-MIN_WAIT_RATIO = 0.2
-#: Round-trip time to an upstream in another region.
-CROSS_REGION_RTT_S = 0.04
 #: Factor on the expected response time of a stalled upstream.
 STALLED_LATENCY_FACTOR = 10.0
 
@@ -37,7 +34,7 @@
 
     :param expected_s: expected response time, which includes ``wait_s``.
     :param wait_s: expected wait for a slot.
-    :param service_and_rtt_s: expected service time and round trip.
+    :param rtt_s: round-trip time.
     :param is_warm: whether the upstream has recently handled the object.
     :param has_free_slot: whether it has a free slot, as far as this host knows.
     """
@@ -45,7 +42,7 @@
     load: UpstreamLoad
     expected_s: float
     wait_s: float
-    service_and_rtt_s: float
+    rtt_s: float
     is_warm: bool
     has_free_slot: bool
 
@@ -71,14 +68,14 @@
 class UpstreamSelector:
     """Selects the upstream for one request.
 
-    :param region: region of this host.
+    :param round_trips: observed round-trip times of this host.
     :param service_times: service times of the request's route.
     :param target_s: target latency.
     :param remaining_s: time until the deadline of the request.
     """
 
     object_key: str
-    region: str
+    round_trips: RoundTrips
     service_times: ServiceTimes
     target_s: float
     remaining_s: float
@@ -143,15 +140,13 @@
         latency_ratio = load.latency_ratio_at(self.now)
         if load.is_stalled(self.now, service_s):
             latency_ratio *= STALLED_LATENCY_FACTOR
-        round_trip_s = (
-            0 if load.record.region == self.region else CROSS_REGION_RTT_S
-        )
+        round_trip_s = self.round_trips.seconds_to(load.record.region)
         expected_s = (service_s + wait_s) * latency_ratio + round_trip_s
         return SelectedUpstream(
             load,
             expected_s,
             wait_s * latency_ratio,
-            service_s + round_trip_s,
+            round_trip_s,
             warm,
             queued == 0,
         )
@@ -163,12 +158,14 @@
         but makes all requests late. A request that finds a free slot is sent
         even if it may miss the target: its service time is only an estimate.
         """
-        max_wait_s = max(
-            self.target_s * MIN_WAIT_RATIO,
-            self.target_s - self.service_times.warm_s,
+        max_wait_s = self.service_times.max_wait_s(
+            self.target_s - candidate.rtt_s
         )
         lateness_s = (
-            self.service_times.warm_s + candidate.wait_s - self.remaining_s
+            self.service_times.warm_s
+            + candidate.rtt_s
+            + candidate.wait_s
+            - self.remaining_s
         )
         return max(candidate.wait_s - max_wait_s, lateness_s)
 
--- a/egretmill/placement/service_times.py
+++ b/egretmill/placement/service_times.py
@@ -10,6 +10,8 @@
 #: a warm upstream usually meets the target, a cold one misses it.
 COLD_TARGET_RATIO = 1.4
 WARM_TARGET_RATIO = 0.5
+#: Lower bound of the accepted wait for a slot, relative to the target latency.
+MIN_WAIT_RATIO = 0.2
 #: The target counts at most as this part of the route's timeout.
 MAX_TIMEOUT_RATIO = 0.4
 
@@ -33,6 +35,10 @@
             reference_s * WARM_TARGET_RATIO, reference_s * COLD_TARGET_RATIO
         )
 
+    def max_wait_s(self, target_s: float) -> float:
+        """Return the longest wait for a slot with which the target is met."""
+        return max(target_s * MIN_WAIT_RATIO, target_s - self.warm_s)
+
     def expected_s(self, *, warm: bool) -> float:
         """Return the mean service time."""
         return self.warm_s if warm else self.cold_s
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -1,10 +1,13 @@
 """Selection of an upstream under load."""
 
+import dataclasses
+
 from egretmill.fleet.upstreams import Upstream
 from egretmill.placement import (
     LoadReport,
     NoCapacity,
     NoUpstream,
+    RoundTrips,
     SelectedUpstream,
     ServiceTimes,
     UpstreamLoad,
@@ -33,7 +36,13 @@
     """Return the selector for a request for an object."""
     service_times = ServiceTimes(warm_s=0.1, cold_s=0.3)
     return UpstreamSelector(
-        'o', 'west', service_times, 0.3, remaining_s, idempotent, NOW
+        'o',
+        RoundTrips(),
+        service_times,
+        0.3,
+        remaining_s,
+        idempotent,
+        NOW,
     )
 
 
@@ -103,9 +112,7 @@
     for _ in range(20):
         order[0].record_response('x', 2.0, 0.3, NOW)
     assert chosen_name(order) == 'u1'
-    later = UpstreamSelector(
-        'o', 'west', ServiceTimes(0.1, 0.3), 0.3, 2, True, NOW + 60
-    )
+    later = dataclasses.replace(selector(), now=NOW + 60)
     assert later.choose(order).load is order[0]
 
 
@@ -189,7 +196,10 @@
 def test_free_slot_is_tried_when_the_service_time_is_unknown():
     """Guards against refusing requests of a route without statistics."""
     service_times = ServiceTimes(warm_s=0.5, cold_s=5)
-    request = UpstreamSelector('o', 'west', service_times, 0.3, 1.2, True, NOW)
+    request = dataclasses.replace(
+        selector(remaining_s=1.2),
+        service_times=service_times,
+    )
     assert isinstance(request.choose(idle_upstreams()), SelectedUpstream)
 
 
@@ -237,3 +247,17 @@
         for number in range(1000)
     ]
     assert 850 < firsts.count('large') < 950
+
+
+def test_distant_upstream_is_passed_over_for_a_near_one():
+    """Guards against round trips that are longer than the wait they save."""
+    round_trips = RoundTrips()
+    round_trips.add('east', 0.2)
+    far, near = (
+        UpstreamLoad(record('u0', region='east')),
+        UpstreamLoad(record('u1')),
+    )
+    for load in (far, near):
+        load.record_response('o', 0.1, 0.1, NOW)
+    request = dataclasses.replace(selector(), round_trips=round_trips)
+    assert request.choose([far, near]).load is near
