Limit waits by what more and equally urgent routes accept

Hypothesis: an upstream serves its queue in order of arrival. Priorities of routes and client accounts were decoded and not used.

Change: a request waits at most 0.5 of the wait that more urgent routes of the service accept, and 0.9 of that of equally urgent ones, counted over the last 5 s. What would wait longer is refused at once.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -23,6 +23,7 @@
 from egretmill.http1.messages import Header
 from egretmill.logs import log_event
 from egretmill.placement import (
+    AcceptedWait,
     NoCapacity,
     NoUpstream,
     SelectedUpstream,
@@ -172,6 +173,14 @@
         service_times = self.service_times
         target_s = accepted.route.target_latency_s
         now = self.state.now()
+        urgent_waits = self.state.urgent_waits
+        urgent_waits.record(
+            accepted.service,
+            accepted.route.name,
+            AcceptedWait(
+                accepted.priority, service_times.max_wait_s(target_s), now
+            ),
+        )
         selector = UpstreamSelector(
             accepted.object_key,
             self.state.pool.round_trips,
@@ -180,6 +189,7 @@
             self.remaining_s,
             accepted.route.is_idempotent,
             now,
+            urgent_waits.limit_s(accepted.service, accepted.priority, now),
         )
         untried = [row for row in order if row.record.name not in self.tried]
         return selector.choose(untried)
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -17,6 +17,7 @@
 from egretmill.http1 import ConnectionLimits
 from egretmill.peers.table import PeerTable
 from egretmill.placement.service_times import ServiceTimes
+from egretmill.placement.urgency import UrgentWaits
 from egretmill.placement.retries import RetryBudget
 from egretmill.shares.accounts import AccountLimits, Tolerance
 from egretmill.shares.loans import LoanBook
@@ -54,6 +55,7 @@
     pool: UpstreamPool
     tokens: RemoteTokens
     work: dict[str, ServiceTimes] = dataclasses.field(default_factory=dict)
+    urgent_waits: UrgentWaits = dataclasses.field(default_factory=UrgentWaits)
     incarnation: int = 0
     suspects: frozenset[str] = frozenset()
     leaving: bool = False
--- a/egretmill/placement/__init__.py
+++ b/egretmill/placement/__init__.py
@@ -11,8 +11,10 @@
 from egretmill.placement.rendezvous import rendezvous_order
 from egretmill.placement.round_trips import RoundTrips
 from egretmill.placement.service_times import ServiceTimes
+from egretmill.placement.urgency import AcceptedWait, UrgentWaits
 
 __all__ = (
+    'AcceptedWait',
     'LoadReport',
     'NoCapacity',
     'NoUpstream',
@@ -22,5 +24,6 @@
     'SlowStartLimit',
     'UpstreamLoad',
     'UpstreamSelector',
+    'UrgentWaits',
     'rendezvous_order',
 )
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Sequence
 
 from egretmill.placement.load import UpstreamLoad
@@ -72,6 +73,8 @@
     :param service_times: service times of the request's route.
     :param target_s: target latency.
     :param remaining_s: time until the deadline of the request.
+    :param wait_limit_s: longest wait that leaves room for more urgent
+        requests.
     """
 
     object_key: str
@@ -81,6 +84,7 @@
     remaining_s: float
     idempotent: bool
     now: float
+    wait_limit_s: float = math.inf
 
     def choose(
         self,
@@ -158,8 +162,9 @@
         but makes all requests late. A request that finds a free slot is sent
         even if it may miss the target: its service time is only an estimate.
         """
-        max_wait_s = self.service_times.max_wait_s(
-            self.target_s - candidate.rtt_s
+        max_wait_s = min(
+            self.service_times.max_wait_s(self.target_s - candidate.rtt_s),
+            self.wait_limit_s,
         )
         lateness_s = (
             self.service_times.warm_s
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -249,6 +249,21 @@
     assert 850 < firsts.count('large') < 950
 
 
+def test_wait_beyond_the_limit_of_urgent_routes_is_refused():
+    """Guards against a queue in which urgent requests miss their target."""
+    order = idle_upstreams(1)
+    send_unanswered(order[0], SLOTS + 1)
+    limited = dataclasses.replace(selector(), wait_limit_s=0.01)
+    assert isinstance(selector().choose(order), SelectedUpstream)
+    assert isinstance(limited.choose(order), NoCapacity)
+
+
+def test_free_slot_needs_no_wait_limit():
+    """Guards against refusing less urgent requests while slots are free."""
+    limited = dataclasses.replace(selector(), wait_limit_s=0)
+    assert isinstance(limited.choose(idle_upstreams(1)), SelectedUpstream)
+
+
 def test_distant_upstream_is_passed_over_for_a_near_one():
     """Guards against round trips that are longer than the wait they save."""
     round_trips = RoundTrips()
