--- a/egretmill/shares/accounts.py
+++ b/egretmill/shares/accounts.py
@@ -7,6 +7,7 @@
 from egretmill.fleet.configuration import ClientAccount
 from egretmill.shares.bucket import Share, TokenBucket
 from egretmill.shares.loans import LoanBook, Shortage, lendable_fraction
+from egretmill.shares.rate_meter import RateMeter
 from egretmill.shares.roster import FleetShare, owners_of
 
 __all__ = ('AccountLimits', 'Admitted', 'Limited', 'Tolerance')
@@ -60,26 +61,14 @@
 class AccountState:
     """Token bucket and demand of one account.
 
-    :param demand_per_s: smoothed requests per second at ``updated_at``,
-        refused ones included.
+    :param demand: requests, refused ones included.
     """
 
     account: ClientAccount
     bucket: TokenBucket
-    demand_per_s: float = 0
-    updated_at: float = 0
-
-    def record_request(self, now: float) -> None:
-        """Count a request as demand."""
-        self.demand_per_s = (
-            self.current_demand(now) + 1 / DEMAND_TIME_CONSTANT_S
-        )
-        self.updated_at = now
-
-    def current_demand(self, now: float) -> float:
-        """Return the demand in requests per second."""
-        age_s = now - self.updated_at
-        return self.demand_per_s * math.exp(-age_s / DEMAND_TIME_CONSTANT_S)
+    demand: RateMeter = dataclasses.field(
+        default_factory=lambda: RateMeter(DEMAND_TIME_CONSTANT_S),
+    )
 
     @property
     def owner_count(self) -> int:
@@ -90,7 +79,7 @@
 
     def needed_fraction(self, now: float) -> float:
         """Return the demand as a fraction of the account's rate."""
-        return self.current_demand(now) / self.account.rate_per_s
+        return self.demand.rate_at(now) / self.account.rate_per_s
 
 
 class AccountLimits:
@@ -144,7 +133,7 @@
         state = self.states.get(account.name)
         if state is None:
             return Admitted()
-        state.record_request(now)
+        state.demand.record(now)
         self._update_bucket(state, now)
         return _reserve_token(state, min(max_wait_s, MAX_TOKEN_WAIT_S))
 
