Add "egretmill simulate" to compare placement policies

Change: the model becomes a package that runs the product's placement code in virtual time: several routes, regions and hosts with partial knowledge, upstreams with slots, queue and a memory of objects, callers that return after Retry-After. A command prints a table, and a plot with matplotlib. The tests of the former model keep their bounds; new ones play the loads that the urgent waits, the rank cost and the region weights answer.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,7 +13,6 @@
     'ledger',
     'lookups',
     'membership',
-    'placing',
     'routing',
     'shares',
 )
--- a/egretmill/cli/application.py
+++ b/egretmill/cli/application.py
@@ -14,6 +14,7 @@
 from egretmill.cli.key import KeyDigestCommand, KeyNewCommand
 from egretmill.cli.promote import PromoteCommand
 from egretmill.cli.retire import RetireCommand
+from egretmill.cli.simulate import SimulateCommand
 from egretmill.cli.status import StatusCommand
 
 __all__ = ('COMMANDS', 'build_application', 'main')
@@ -29,6 +30,7 @@
     KeyDigestCommand,
     DrainCommand,
     RetireCommand,
+    SimulateCommand,
 )
 
 
--- /dev/null
+++ b/egretmill/simulation/hosts.py
@@ -0,0 +1,114 @@
+"""Simulated hosts: what each of them knows, and how it decides."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from egretmill.placement import (
+    AcceptedWait,
+    NoCapacity,
+    NoUpstream,
+    RoundTrips,
+    SelectedUpstream,
+    ServiceTimes,
+    UpstreamLoad,
+    UpstreamSelector,
+    UrgentWaits,
+)
+from egretmill.placement.regions import (
+    capacity_weights,
+    demand_fractions,
+    slots_by_region,
+)
+from egretmill.placement.rendezvous import order_from_home
+from egretmill.simulation.policies import Policy
+from egretmill.simulation.upstreams import Request
+
+__all__ = ('SERVICE', 'SimulatedHost')
+
+SERVICE = 'service'
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class SimulatedHost:
+    """A host that knows its own requests and the loads in responses."""
+
+    region: str
+    policy: Policy
+    loads: dict[str, UpstreamLoad]
+    round_trips: RoundTrips
+    service_times: dict[str, ServiceTimes] = dataclasses.field(
+        default_factory=dict,
+    )
+    urgent_waits: UrgentWaits = dataclasses.field(default_factory=UrgentWaits)
+    fractions: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    orders: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def apply_demand(self, demand_by_region: Mapping[str, float]) -> None:
+        """Apply the demand of all regions."""
+        self.fractions = demand_fractions(demand_by_region)
+        self.orders.clear()
+
+    def choose(
+        self, request: Request, now: float
+    ) -> SelectedUpstream | NoCapacity | NoUpstream:
+        """Choose an upstream for a request."""
+        route = request.route
+        times = self.times_of(request)
+        wait = AcceptedWait(
+            route.priority, times.max_wait_s(route.target_s), now
+        )
+        self.urgent_waits.record(SERVICE, route.name, wait)
+        selector = UpstreamSelector(
+            request.object_key,
+            self.round_trips,
+            times,
+            route.target_s,
+            request.asked_at + route.timeout_s - now,
+            True,
+            now,
+        )
+        if self.policy.urgent_waits:
+            limit_s = self.urgent_waits.limit_s(SERVICE, route.priority, now)
+            selector = dataclasses.replace(selector, wait_limit_s=limit_s)
+        return selector.choose(self.order(request.object_key))
+
+    def order(self, object_key: str) -> list[UpstreamLoad]:
+        """Return the loads in the object's preference order."""
+        names = self.orders.get(object_key)
+        if names is None:
+            names = self.compute_order(object_key)
+            self.orders[object_key] = names
+        return [self.loads[name] for name in names]
+
+    def compute_order(self, object_key: str) -> tuple[str, ...]:
+        """Return the names of the upstreams in the preference order."""
+        records = [load.record for load in self.loads.values()]
+        weights: Mapping[str, float] = {}
+        if self.policy.region_weights:
+            weights = capacity_weights(
+                self.region, self.fractions, slots_by_region(records)
+            )
+        ordered = order_from_home(object_key, records, weights)
+        return tuple(record.name for record in ordered)
+
+    def times_of(self, request: Request) -> ServiceTimes:
+        """Return the service times of the request's route."""
+        route = request.route
+        return self.service_times.setdefault(
+            route.name,
+            ServiceTimes.from_target(route.target_s, route.timeout_s),
+        )
+
+    def record_response(
+        self, request: Request, selected: SelectedUpstream, now: float
+    ) -> None:
+        """Learn from a response."""
+        response_s = now - request.sent_at
+        if selected.has_free_slot:
+            service_s = response_s - selected.rtt_s
+            self.times_of(request).add(service_s, warm=selected.is_warm)
+        selected.load.record_response(
+            request.object_key, response_s, selected.expected_s, now
+        )
--- /dev/null
+++ b/egretmill/simulation/policies.py
@@ -0,0 +1,30 @@
+"""Policies that the simulation compares."""
+
+import dataclasses
+from collections.abc import Mapping
+from types import MappingProxyType
+
+__all__ = ('POLICIES', 'Policy')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """Which mechanisms of the placement are in use.
+
+    :param region_weights: the first upstream of an object depends on the
+        demand and the capacity of the regions.
+    :param urgent_waits: less urgent requests leave room for urgent ones.
+    """
+
+    region_weights: bool = True
+    urgent_waits: bool = True
+
+
+#: Policies by the name that the command line takes.
+POLICIES: Mapping[str, Policy] = MappingProxyType(
+    {
+        'current': Policy(),
+        'plain-order': Policy(region_weights=False),
+        'equal-waits': Policy(urgent_waits=False),
+    }
+)
