Start no backoff when an upstream sheds load with a free slot

Change: a shed request starts a backoff only if the response reports no free slot, or no load at all.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -215,7 +215,12 @@
             raise
         finally:
             now = state.now()
-            load.finish(attempt_result.observation, now, started_at)
+            load.finish(
+                attempt_result.observation,
+                now,
+                started_at,
+                attempt_result.load_report,
+            )
             state.metrics.attempts.labels(
                 self.accepted.service,
                 attempt_result.end,
--- a/egretmill/placement/load.py
+++ b/egretmill/placement/load.py
@@ -50,6 +50,11 @@
     waiting: int
     slots: int
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no slot is free."""
+        return self.running + self.waiting >= self.slots
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class UpstreamLoad:
@@ -146,9 +151,15 @@
         kind: ObservationKind,
         now: float,
         sent_at: float = math.inf,
+        report: LoadReport | None = None,
     ) -> None:
         """Record the end of a request.
 
+        An upstream that sheds load although it reports a free slot does not
+        do so for lack of capacity, and a backoff would only move its objects
+        to upstreams that are cold for them.
+
+        :param report: load that the upstream reported in its response.
         :param sent_at: when the request was sent. A timeout is no failure
             if the upstream has responded to other requests since then.
         """
@@ -161,7 +172,8 @@
             case ObservationKind.SHED:
                 self.last_response_at = now
                 self.health.record_success()
-                self._back_off(now)
+                if report is None or report.is_full:
+                    self._back_off(now)
             case ObservationKind.CANCELLED:
                 self.health.cancel_probe()
             case ObservationKind.TIMEOUT if self.last_response_at > sent_at:
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -276,3 +276,25 @@
         load.record_response('o', 0.1, 0.1, NOW)
     request = dataclasses.replace(selector(), round_trips=round_trips)
     assert request.choose([far, near]).load is near
+
+
+def test_shedding_with_a_free_slot_starts_no_backoff():
+    """Guards against moving objects away from upstreams that fail at random.
+
+    Upstreams that shed half of their requests at any load would all be left
+    out in turn, and objects would run at upstreams that are cold for them.
+    """
+    order = idle_upstreams()
+    order[0].begin(NOW)
+    order[0].finish(ObservationKind.SHED, NOW, report=LoadReport(1, 0, SLOTS))
+    assert chosen_name(order) == 'u0'
+
+
+def test_shedding_of_a_full_upstream_starts_a_backoff():
+    """Guards against sending again to an upstream that has no room."""
+    order = idle_upstreams()
+    order[0].begin(NOW)
+    order[0].finish(
+        ObservationKind.SHED, NOW, report=LoadReport(SLOTS, 2, SLOTS)
+    )
+    assert chosen_name(order) == 'u1'
