Test a restart after withdrawals and a planned stop under load

Cause: operators of similar systems reported servers and keys that were in use again after a restart, and requests that a planned stop cut off. No test showed whether either can happen here.

Change: two tests of the whole program: a key and an upstream that are withdrawn while the host is down, and 16 callers that send on new connections through a SIGTERM. The roster entry of the test environment says that the others know the host, as an established one has it.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -17,6 +17,8 @@
 ROOT = pathlib.Path(__file__).parents[2]
 ADDRESS = '127.0.0.1'
 TIMEOUT_S = 20
+CALLERS = 16
+MAX_REQUESTS = 400
 PORT_NAMES = ('entry', 'readiness', 'directory', 'metrics', 'peers')
 SETTINGS = """
 [host]
@@ -120,7 +122,11 @@
         self.path.write_text(settings)
         self.store.put('op', 'config', configuration_row(1, ['k1']))
         # With an entry of an earlier run, the host does not wait for a lease.
-        entry = {'address': ADDRESS, 'port': self.ports['peers']}
+        entry = {
+            'address': ADDRESS,
+            'port': self.ports['peers'],
+            'known_by_all': True,
+        }
         self.store.put('egretmill-roster', 'h1', json.dumps(entry).encode())
         address = upstream.sockets[0].getsockname()
         self.store.put('servers', 'w1', upstream_row(address[1]))
@@ -261,6 +267,57 @@
     assert (await environment.get('entry', b'/a/1', b'id1'))[0] == 200
 
 
+async def test_restarted_host_uses_nothing_that_was_withdrawn(environment):
+    """Guards against a key or upstream that is in use again after a restart.
+
+    Both are withdrawn while the host is down.
+    """
+    assert (await environment.get('entry', b'/a/1', b'id1'))[0] == 200
+    environment.process.kill()
+    await environment.process.wait()
+    environment.store.put('op', 'config', configuration_row(2, ['k2']))
+    environment.store.remove('servers', 'w1')
+    await environment.start_host()
+    assert (await environment.get('entry', b'/a/1', b'id2'))[0] == 401
+    assert (await environment.get('entry', b'/a/1', b'id3', b'k2'))[0] == 503
+    assert environment.upstream.request_ids == [b'id1']
+
+
+async def test_planned_stop_under_load_cuts_no_accepted_request(environment):
+    """Guards against requests that end without an answer during a stop.
+
+    Callers keep sending on new connections until the host refuses them.
+    """
+    environment.upstream.delay_s = 0.05
+    answered = []
+    broken = []
+
+    async def send_until_refused(caller):
+        for number in range(MAX_REQUESTS):
+            identifier = b'%d-%d' % (caller, number)
+            try:
+                answer = await environment.get('entry', b'/a/1', identifier)
+            except ConnectionError:
+                return
+            except asyncio.IncompleteReadError:
+                broken.append(identifier)
+                return
+            answered.append(answer[0])
+
+    callers = [
+        asyncio.create_task(send_until_refused(caller))
+        for caller in range(CALLERS)
+    ]
+    await asyncio.sleep(0.5)
+    environment.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(TIMEOUT_S):
+        await asyncio.gather(*callers)
+        assert await environment.process.wait() == 0
+    assert not broken
+    assert set(answered) <= {200, 503}
+    assert answered.count(200) >= CALLERS
+
+
 async def test_store_outage_refuses_keyed_requests(environment):
     """Guards against accepting keys that the store no longer confirms."""
     environment.store.faults.status = 503
