Name hosts in look-ups that can confirm API keys

Hypothesis: the store turns some hosts away while it serves the others.

Change: look-ups name hosts whose configuration is fresh enough for keys, their own included, and all ready hosts only if there is none. Heartbeats already carry the age.

--- a/egretmill/host/directory.py
+++ b/egretmill/host/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Sequence
 
 from egretmill.host.state import HostState
+from egretmill.peers.datagrams import Heartbeat
 
 __all__ = ('DIRECTORY_CACHE_S', 'EntryHost', 'choose_hosts', 'entry_hosts')
 
@@ -95,25 +96,48 @@
     region: str,
     failure_domain: str,
 ) -> tuple[str, ...]:
-    """Return the entry hosts for a caller; this host if no other is ready."""
+    """Return the entry hosts for a caller; this host if no other is ready.
+
+    Hosts that cannot confirm the API keys refuse almost all requests, so they
+    are named only if there are no others.
+    """
     now = state.now()
-    hosts = [
-        EntryHost(
-            peer.heartbeat.entry,
-            peer.heartbeat.failure_domain,
-            peer.heartbeat.region,
-            peer.heartbeat.room,
-        )
+    peers = [
+        peer
         for peer in state.peers.live_peers(now)
         if peer.heartbeat is not None and peer.heartbeat.ready
     ]
-    settings = state.settings
-    if state.is_ready or not hosts:
-        own = EntryHost(
-            str(settings.entry),
-            settings.failure_domain,
-            settings.region,
-            settings.capacity.requests_per_s,
+    confirmed = [
+        _peer_entry(peer.heartbeat)
+        for peer in peers
+        if state.confirms_keys(
+            peer.heartbeat.knowledge_age + now - peer.last_received_at
         )
-        hosts.append(own)
-    return choose_hosts(hosts, region, failure_domain)
+    ]
+    if state.is_ready and state.confirms_keys(state.view.configuration_age_s()):
+        confirmed.append(_own_entry(state))
+    if confirmed:
+        return choose_hosts(confirmed, region, failure_domain)
+    ready = [_peer_entry(peer.heartbeat) for peer in peers]
+    if state.is_ready or not ready:
+        ready.append(_own_entry(state))
+    return choose_hosts(ready, region, failure_domain)
+
+
+def _peer_entry(heartbeat: Heartbeat) -> EntryHost:
+    return EntryHost(
+        heartbeat.entry,
+        heartbeat.failure_domain,
+        heartbeat.region,
+        heartbeat.room,
+    )
+
+
+def _own_entry(state: HostState) -> EntryHost:
+    settings = state.settings
+    return EntryHost(
+        str(settings.entry),
+        settings.failure_domain,
+        settings.region,
+        settings.capacity.requests_per_s,
+    )
--- a/egretmill/host/request_check.py
+++ b/egretmill/host/request_check.py
@@ -21,9 +21,6 @@
 __all__ = ('AcceptedRequest', 'check_request')
 
 BEARER = b'bearer '
-#: Margin before the deadline for revoking a key, for a request on its way to
-#: the upstream, in seconds.
-REVOCATION_MARGIN_S = 0.3
 #: Retry-After of a host whose configuration may be outdated, in seconds.
 UNCONFIRMED_RETRY_S = 0.5
 
@@ -104,9 +101,8 @@
 ) -> Result[ClientAccount | None, Refusal]:
     if route.public or not configuration.requires_keys:
         return Ok(None)
-    bounds = state.settings.bounds
     age_s = state.view.configuration_age_s()
-    if bounds.fail_closed and age_s > bounds.revoke_s - REVOCATION_MARGIN_S:
+    if not state.confirms_keys(age_s):
         detail = f'keys were last confirmed {age_s:.1f} s ago'
         return _refuse(ErrorKind.UNCONFIRMED, detail, UNCONFIRMED_RETRY_S)
     header = head.fields.get(b'authorization', b'')
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -33,6 +33,9 @@
 #: Fraction of the fleet's retry budget that hosts use; the rest is for requests
 #: that are counted at an upstream but not here.
 PLANNED_RETRY_FRACTION = 0.8
+#: Margin before the deadline for revoking a key, for a request on its way to
+#: the upstream, in seconds.
+REVOCATION_MARGIN_S = 0.3
 #: Fraction of the tolerated excess over a rate that hosts use to smooth its
 #: division; the rest covers clock differences and messages in transit.
 USED_TOLERANCE_FRACTION = 0.5
@@ -122,6 +125,13 @@
             return False
         return self.share.fraction(self.now()) > 0
 
+    def confirms_keys(self, age_s: float) -> bool:
+        """Return whether keys are valid that were confirmed that long ago."""
+        bounds = self.settings.bounds
+        if not bounds.fail_closed:
+            return True
+        return age_s <= bounds.revoke_s - REVOCATION_MARGIN_S
+
     def apply_configuration(self, configuration: FleetConfiguration) -> bool:
         """Apply a configuration; return whether it is newer."""
         if not self.view.apply_configuration(configuration):
--- a/tests/host/test_directory.py
+++ b/tests/host/test_directory.py
@@ -2,12 +2,17 @@
 
 import pytest
 
-from egretmill.host.directory import EntryHost, choose_hosts
 from egretmill.host.capacity import Capacity
+from egretmill.host.directory import EntryHost, choose_hosts, entry_hosts
+from egretmill.peers import Heartbeat
+from tests.host.fakes import make_state
 
 LARGE = Capacity(share=0.717, cores=3, link_mbps=200).requests_per_s
 SMALL = Capacity(share=0.581, cores=2, link_mbps=10).requests_per_s
 
+#: Age of a configuration that no longer proves any key, in seconds.
+STALE_S = 60
+
 
 def host(name, domain='west-a', region='west', capacity_per_s=LARGE):
     """Return a ready host."""
@@ -95,3 +100,35 @@
 def test_scarcest_resource_limits_the_capacity(capacity, binding):
     """Guards against rating a fast machine on a slow link by its processor."""
     assert capacity.requests_per_s == binding.requests_per_s
+
+
+def state_with_peers(*peers, own_age_s=0):
+    """Return the state of a host in the west with live peers there.
+
+    :param peers: name and age of the peer's configuration.
+    """
+    state = make_state()
+    now = state.now()
+    state.view.configuration_freshness.confirmed_at = now - own_age_s
+    for name, age_s in peers:
+        beat = Heartbeat(
+            name, 1, name, 'west-a', 'west', True, now, 0, 0, age_s, 0, 0
+        )
+        state.peers.record_heartbeat(beat, ('10.0.0.2', 7000), now)
+    return state
+
+
+def test_host_that_cannot_confirm_keys_is_not_named():
+    """Guards against callers whose requests are refused for a stale key.
+
+    The store turns some hosts away, while the others could serve them.
+    """
+    state = state_with_peers(('p1', 0.2), ('p2', STALE_S), own_age_s=STALE_S)
+    assert entry_hosts(state, 'west', 'west-a') == ('p1',)
+
+
+def test_all_hosts_are_named_when_none_confirms_keys():
+    """Guards against an empty answer while the store is down."""
+    state = state_with_peers(('p1', STALE_S), own_age_s=STALE_S)
+    own = str(state.settings.entry)
+    assert set(entry_hosts(state, 'west', 'west-a')) == {'p1', own}
