Tell callers when a restarted host may use its part of the rates

Cause: a host that waits for its lease or loans answered with a Retry-After of 1 s, whatever was left of the wait.

Change: Retry-After is the time that is left.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -115,7 +115,9 @@
         state = self.state
         if account.is_limited and not state.share.fraction(state.now()):
             failure = Failure(ErrorKind.NOT_READY, 'no share of the rates yet')
-            return Refusal.not_run(failure)
+            return Refusal.not_run(
+                failure, state.share.active_in_s(state.now())
+            )
         max_wait_s = self.remaining_s - self.service_times.warm_s
         admitted = state.accounts.admit(account, state.now(), max_wait_s)
         if isinstance(admitted, Limited):
--- a/egretmill/shares/roster.py
+++ b/egretmill/shares/roster.py
@@ -86,6 +86,12 @@
         """Record that every other member knows the roster with this host."""
         self.active_at = min(self.active_at, max(now, self.earliest_at))
 
+    def active_in_s(self, now: float) -> float | None:
+        """Return the time until the fraction may be used, if it is known."""
+        if not now < self.active_at < math.inf:
+            return None
+        return self.active_at - now
+
     def apply_roster(
         self, members: Iterable[str], sent_at: float, now: float
     ) -> bool:
--- a/tests/shares/test_roster.py
+++ b/tests/shares/test_roster.py
@@ -58,6 +58,15 @@
     assert share.fraction(NOW + 1.3) == pytest.approx(0.5)
 
 
+def test_time_until_the_fraction_is_active_is_known():
+    """Guards against a Retry-After that is longer than the wait."""
+    share = FleetShare('b')
+    assert share.active_in_s(NOW) is None
+    share.record_joined(NOW, 1.0, min_wait_s=1.0)
+    assert share.active_in_s(NOW + 0.5) == pytest.approx(0.7)
+    assert share.active_in_s(NOW + 2) is None
+
+
 def test_fraction_of_a_removed_host_is_taken_over_late():
     """Guards against two users of one fraction.
 
