--- a/tests/entry/replay.py
+++ b/tests/entry/replay.py
@@ -17,6 +17,8 @@
 from tests.entry.harness import KEY, EntryHarness, running_entry
 from tests.fakes import FakeStore, FakeTable
 
+#: Status of a served request.
+HTTP_OK = 200
 TRACES = pathlib.Path(__file__).with_name('traces')
 
 
@@ -69,7 +71,9 @@
             else:
                 is_met = measured == expected
             if not is_met:
-                self.failures.append(f'{event}: {field} is {measured}')
+                self.failures.append(
+                    f'{event}: {field} is {measured}, observed {observed}'
+                )
 
     async def send(self, event: Event) -> dict:
         """Make one request."""
@@ -100,7 +104,10 @@
         answers = await asyncio.gather(*sent)
         statuses = [answer['status'] for answer in answers]
         return {
-            'served_part': statuses.count(200) / count,
+            'served_part': statuses.count(HTTP_OK) / count,
+            'failed': [
+                answer for answer in answers if answer['status'] != HTTP_OK
+            ],
             'attempts_part': (self.attempts() - before) / count,
         }
 
