Compute the order of upstreams with one hash for each

Cause: the region's first upstream and the order of the others were computed by two sorts over all upstreams, each time the demand changes.

Change: the weights of regions are applied to the scores that the plain order already has; one function in place of two.

--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -20,7 +20,7 @@
     demand_fractions,
     slots_by_region,
 )
-from egretmill.placement.rendezvous import order_from_home
+from egretmill.placement.rendezvous import rendezvous_order
 from egretmill.placement.round_trips import RoundTrips
 from egretmill.shares.roster import FleetShare, owners_of
 
@@ -216,7 +216,7 @@
             self.demand_fractions.get(service, {}),
             slots_by_region(eligible),
         )
-        ordered = order_from_home(object_key, eligible, weights)
+        ordered = rendezvous_order(object_key, eligible, weights)
         if near_first:
             ordered = tuple(sorted(ordered, key=self._distance))
         return tuple(self.loads[upstream.name] for upstream in ordered)
--- a/egretmill/placement/rendezvous.py
+++ b/egretmill/placement/rendezvous.py
@@ -1,13 +1,13 @@
 """Weighted rendezvous hashing: the order of upstreams for an object."""
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
 from egretmill.fleet.upstreams import Upstream
 
-__all__ = ('order_from_home', 'rendezvous_order')
+__all__ = ('rendezvous_order',)
 
 HASH_RANGE = 1 << 64
 
@@ -15,7 +15,7 @@
 def rendezvous_order(
     object_key: str,
     upstreams: Iterable[Upstream],
-    weight_by_region: Mapping[str, float] | None = None,
+    home_weights: Mapping[str, float] | None = None,
 ) -> tuple[Upstream, ...]:
     """Sort upstreams by their weighted rendezvous score, the highest first.
 
@@ -23,37 +23,28 @@
     coordination, and adding or removing an upstream moves only its own
     objects. The weight is the number of slots.
 
-    :param weight_by_region: factors on the weight, 1 by default.
+    The weights of regions decide only which upstream comes first, that is
+    where an object usually runs. What a busy one cannot take goes to the same
+    upstreams from all regions.
+
+    :param home_weights: factors on the weight by region, 1 by default.
     """
-    factors = weight_by_region or {}
+    factors = home_weights or {}
     object_hash = xxhash.xxh3_64_intdigest(object_key.encode())
     scored = [
-        (
-            _score(upstream, object_hash) * factors.get(upstream.region, 1),
-            upstream.name,
-            upstream,
-        )
+        (_score(upstream, object_hash), upstream.name, upstream)
         for upstream in upstreams
     ]
     scored.sort(key=_sort_key)
-    return tuple(upstream for _, _, upstream in scored)
-
-
-def order_from_home(
-    object_key: str,
-    upstreams: Sequence[Upstream],
-    weight_by_region: Mapping[str, float],
-) -> tuple[Upstream, ...]:
-    """Sort upstreams: the weighted first one, then the others without weights.
-
-    The regions' weights decide where an object usually runs. What a busy
-    upstream cannot take goes to the same upstreams from all regions.
-    """
-    if not upstreams:
-        return ()
-    home = rendezvous_order(object_key, upstreams, weight_by_region)[0]
-    others = rendezvous_order(object_key, upstreams)
-    return (home, *(upstream for upstream in others if upstream is not home))
+    ordered = [upstream for _, _, upstream in scored]
+    if not factors or not ordered:
+        return tuple(ordered)
+    _, home = max(
+        (score * factors.get(upstream.region, 1), -rank)
+        for rank, (score, _, upstream) in enumerate(scored)
+    )
+    ordered.insert(0, ordered.pop(-home))
+    return tuple(ordered)
 
 
 def _score(upstream: Upstream, object_hash: int) -> float:
--- a/egretmill/simulation/hosts.py
+++ b/egretmill/simulation/hosts.py
@@ -19,7 +19,7 @@
     demand_fractions,
     slots_by_region,
 )
-from egretmill.placement.rendezvous import order_from_home
+from egretmill.placement.rendezvous import rendezvous_order
 from egretmill.simulation.policies import Policy
 from egretmill.simulation.upstreams import Request
 
@@ -90,7 +90,7 @@
             weights = capacity_weights(
                 self.region, self.fractions, slots_by_region(records)
             )
-        ordered = order_from_home(object_key, records, weights)
+        ordered = rendezvous_order(object_key, records, weights)
         return tuple(record.name for record in ordered)
 
     def times_of(self, request: Request) -> ServiceTimes:
