--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -23,7 +23,6 @@
 from egretmill.http1.messages import Header
 from egretmill.logs import log_event
 from egretmill.placement import (
-    AcceptedWait,
     NoCapacity,
     NoUpstream,
     SelectedUpstream,
@@ -180,9 +179,9 @@
         urgent_waits.record(
             accepted.service,
             accepted.route.name,
-            AcceptedWait(
-                accepted.priority, service_times.max_wait_s(target_s), now
-            ),
+            accepted.priority,
+            service_times.max_wait_s(target_s),
+            now,
         )
         selector = UpstreamSelector(
             accepted.object_key,
--- a/egretmill/placement/__init__.py
+++ b/egretmill/placement/__init__.py
@@ -11,10 +11,9 @@
 from egretmill.placement.rendezvous import rendezvous_order
 from egretmill.placement.round_trips import RoundTrips
 from egretmill.placement.service_times import ServiceTimes
-from egretmill.placement.urgency import AcceptedWait, UrgentWaits
+from egretmill.placement.urgency import UrgentWaits
 
 __all__ = (
-    'AcceptedWait',
     'LoadReport',
     'NoCapacity',
     'NoUpstream',
--- a/egretmill/simulation/hosts.py
+++ b/egretmill/simulation/hosts.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 
 from egretmill.placement import (
-    AcceptedWait,
     NoCapacity,
     NoUpstream,
     RoundTrips,
@@ -56,10 +55,13 @@
         """Choose an upstream for a request."""
         route = request.route
         times = self.times_of(request)
-        wait = AcceptedWait(
-            route.priority, times.max_wait_s(route.target_s), now
+        self.urgent_waits.record(
+            SERVICE,
+            route.name,
+            route.priority,
+            times.max_wait_s(route.target_s),
+            now,
         )
-        self.urgent_waits.record(SERVICE, route.name, wait)
         selector = UpstreamSelector(
             request.object_key,
             self.round_trips,
