Log which call and which peer a copy of the configuration rests on

Callers of the incident were handled by an outdated version, and the logs could not tell why: they named the version of a request, but not the call that read it, how long before it was sent, nor which peer had confirmed the copy at what age; only the first failed call of an outage was logged, and a refusal named the version at its end instead of the one that decided it.

Adds rows_read, store_call_failed and copies_confirmed (one line a second), the confirmation of the replaced version in configuration_applied, and version and source in the lines of requests. No decision changes. tests/host, tests/tables, tests/platform: passed.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -145,6 +145,24 @@
         logging.WARNING,
         'The store answered with an older state than in an earlier read.',
     )
+    ROWS_READ = Event(
+        213,
+        'rows_read',
+        logging.INFO,
+        'A call to the store brought rows; says how long before it was sent.',
+    )
+    STORE_CALL_FAILED = Event(
+        214,
+        'store_call_failed',
+        logging.INFO,
+        'A further call to the store failed during an outage.',
+    )
+    COPIES_CONFIRMED = Event(
+        215,
+        'copies_confirmed',
+        logging.INFO,
+        'Once per second: age of each copy, who confirmed it, at what age.',
+    )
     REQUEST_ROUTED = Event(
         301,
         'request_routed',
--- a/egretmill/fleet/freshness.py
+++ b/egretmill/fleet/freshness.py
@@ -4,7 +4,10 @@
 import math
 import time
 
-__all__ = ('Freshness', 'boot_time')
+__all__ = ('STORE_SOURCE', 'Freshness', 'boot_time')
+
+#: Source of what this host has read from the store itself.
+STORE_SOURCE = 'store'
 
 
 def boot_time() -> float:
@@ -20,13 +23,26 @@
     sent, so the time of sending is the one that counts.
 
     :param confirmed_at: boot time in seconds, minus infinity at first.
+    :param source: the store, or the peer that confirmed the copy.
+    :param stated_age_s: age of the peer's own copy when it confirmed this one.
     """
 
     confirmed_at: float = -math.inf
-
-    def confirm(self, sent_at: float) -> None:
+    source: str = ''
+    stated_age_s: float = 0
+
+    def confirm(
+        self,
+        confirmed_at: float,
+        source: str = STORE_SOURCE,
+        stated_age_s: float = 0,
+    ) -> None:
         """Record a confirmation; one that is older than the last is ignored."""
-        self.confirmed_at = max(self.confirmed_at, sent_at)
+        if confirmed_at <= self.confirmed_at:
+            return
+        self.confirmed_at = confirmed_at
+        self.source = source
+        self.stated_age_s = stated_age_s
 
     def age(self, now: float) -> float:
         """Return the seconds since the last confirmation."""
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -407,6 +407,7 @@
         attempt=exchange.attempts + 1,
         version=accepted.version,
         knowledge_age_s=round(exchange.state.view.configuration_age_s(), 3),
+        confirmed_by=exchange.state.view.configuration_freshness.source,
         load=round(load.estimated_requests(now), 1),
         report_age_s=round(min(now - load.reported_at, 999), 3),
         slots=load.record.slots,
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -131,6 +131,7 @@
             route=route,
             status=response.status,
             attempts=exchange.attempts,
+            version=accepted.version,
             took_ms=int(took_s * 1000),
         )
         pending.answer(response)
@@ -159,8 +160,9 @@
             account=accepted.account_name if accepted else '',
             route=accepted.route.name if accepted else '',
             attempts=exchange.attempts if exchange else 0,
-            version=self.state.view.version,
+            version=accepted.version if accepted else self.state.view.version,
             knowledge_age_s=round(self.state.view.configuration_age_s(), 3),
+            confirmed_by=self.state.view.configuration_freshness.source,
             took_ms=int(took_s * 1000),
         )
         pending.answer(refusal_response(refusal, self.state.dialect))
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -6,6 +6,7 @@
 
 from egretmill import events
 from egretmill.fleet.view import Topic
+from egretmill.host.copy_log import CopyLog
 from egretmill.host.store_read_policy import StoreReadPolicy, topic_reports
 from egretmill.host.upstream_changes import ChangeBuffer
 from egretmill.host.state import HostState
@@ -57,6 +58,7 @@
         self.live_names: frozenset[str] = frozenset()
         self.is_designated_reader = False
         self.read_policy = StoreReadPolicy(state)
+        self.copy_log = CopyLog(state)
         #: Shortages and spare fractions by account, as of the last tick.
         self.advertised: tuple[dict[str, tuple[float, float]], dict[str, float]]
         self.advertised = ({}, {})
@@ -93,6 +95,7 @@
         self.update_live_peers(now)
         self.update_reader_role()
         self.state.update_retry_allowance()
+        self.copy_log.log_if_due(now)
 
     def broadcast_changes(self, buffer: ChangeBuffer) -> None:
         """Send changes to all peers at once, from a designated reader only."""
@@ -244,7 +247,9 @@
             if report.digest == self.read_policy.digests[topic]:
                 if report.age_s >= 0:
                     self.state.freshness(topic).confirm(
-                        request_sent_at - report.age_s
+                        request_sent_at - report.age_s,
+                        heartbeat.host,
+                        report.age_s,
                     )
             elif self.read_policy.should_read_store(topic, report, now):
                 self.on_difference(topic)
--- a/egretmill/host/state_updater.py
+++ b/egretmill/host/state_updater.py
@@ -5,6 +5,7 @@
 
 from egretmill import events
 from egretmill.fleet.configuration import FleetConfiguration
+from egretmill.fleet.freshness import STORE_SOURCE
 from egretmill.fleet.upstreams import Upstream
 from egretmill.host.upstream_changes import ChangeBuffer
 from egretmill.host.state import HostState
@@ -16,8 +17,6 @@
 #: Time for upstreams to register again after a store outage in which their
 #: entries lapsed, in seconds; live ones return within it (letter of the users).
 REREGISTRATION_S = 2.0
-#: Logged source of records that this host has read itself.
-STORE_SOURCE = 'store'
 
 
 def ignore_changes(buffer: ChangeBuffer) -> None:
@@ -39,11 +38,16 @@
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a version of the configuration."""
         before = self.state.view.version
+        freshness = self.state.view.configuration_freshness
+        age_s = self.state.view.configuration_age_s()
         if self.state.apply_configuration(configuration):
             log_event(
                 events.CATALOGUE.CONFIGURATION_APPLIED,
                 version=configuration.version,
                 before=before,
+                before_age_s=round(age_s, 3),
+                before_confirmed_by=freshness.source,
+                before_stated_age_s=round(freshness.stated_age_s, 3),
                 accounts=len(configuration.accounts()),
                 services=len(configuration.services),
             )
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -192,7 +192,7 @@
     ) -> bool:
         """Apply the answer to a call; return whether it was usable."""
         if isinstance(answer, Err):
-            self.record_failure(answer.err_value)
+            self.record_failure(answer.err_value, sent_at)
             return False
         version = answer.ok_value.version
         if version < self.highest_version:
@@ -205,6 +205,7 @@
             self.failures += 1
             return False
         self.record_recovery()
+        self.log_rows(answer.ok_value, sent_at)
         match answer:
             case Ok(Snapshot(rows)):
                 self.listener.replace_rows(rows)
@@ -216,20 +217,40 @@
         self.listener.confirm_current(sent_at)
         return True
 
-    def record_failure(self, failure: StoreFailure) -> None:
+    def log_rows(self, answer: Snapshot | Changes, sent_at: float) -> None:
+        """Log an answer that holds rows, with the call that brought it."""
+        if not answer.rows:
+            return
+        log_event(
+            events.CATALOGUE.ROWS_READ,
+            table=self.table,
+            call=type(answer).__name__.lower(),
+            rows=len(answer.rows),
+            after=self.version,
+            version=answer.version,
+            sent_before_s=round(self.now() - sent_at, 3),
+        )
+
+    def record_failure(self, failure: StoreFailure, sent_at: float) -> None:
         """Record a failed call."""
         if failure.problem is StoreProblem.HISTORY_GONE:
             log_event(events.CATALOGUE.HISTORY_GONE, table=self.table)
             self.version = None
             return
-        if not self.failures:
-            log_event(
-                events.CATALOGUE.PLATFORM_LOST,
-                table=self.table,
-                problem=failure.problem.value,
-                detail=failure.detail,
-            )
         self.failures += 1
+        event = (
+            events.CATALOGUE.PLATFORM_LOST
+            if self.failures == 1
+            else events.CATALOGUE.STORE_CALL_FAILED
+        )
+        log_event(
+            event,
+            table=self.table,
+            problem=failure.problem.value,
+            detail=failure.detail,
+            failures=self.failures,
+            sent_before_s=round(self.now() - sent_at, 3),
+        )
 
     def record_recovery(self) -> None:
         """Record an answer; log the end of an outage."""
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import logging
 
 from result import Err, Ok
 
@@ -267,3 +268,23 @@
     await asyncio.sleep(0.05)
     assert store.calls == ['read', 'after 1']
     task.cancel()
+
+
+async def test_log_shows_each_failed_call_and_what_brought_the_rows(caplog):
+    """Guards against an outage of which only the first failure is logged."""
+    caplog.set_level(logging.INFO, 'egretmill')
+    await run_watch(
+        Ok(Snapshot((), 7)),
+        failed_answer(StoreProblem.UNANSWERED),
+        failed_answer(StoreProblem.UNANSWERED),
+        Ok(Changes((ROW,), 8)),
+    )
+    assert [
+        (line.getMessage(), line.fields['sent_before_s'])
+        for line in caplog.records
+        if 'sent_before_s' in line.fields
+    ] == [
+        ('platform_lost', 1.0),
+        ('store_call_failed', 1.0),
+        ('rows_read', 1.0),
+    ]
