--- a/soak/links.py
+++ b/soak/links.py
@@ -43,6 +43,9 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.address = ('', 0)
+        #: Connections so far, and how many of them, from the first, are silent.
+        self.opened = 0
+        self.silenced = 0
 
     async def open(self, host: str = '127.0.0.1') -> None:
         """Listen on a free port."""
@@ -55,6 +58,10 @@
             self.server.close()
         self.reset()
 
+    def silence_open_connections(self) -> None:
+        """Drop all further bytes of the connections that are open now."""
+        self.silenced = self.opened
+
     def reset(self) -> None:
         """Reset the open connections."""
         for writer in tuple(self.writers):
@@ -75,10 +82,16 @@
             writer.transport.abort()
             return
         self.writers |= {writer, target_stream[1]}
+        self.opened += 1
+        number = self.opened
         try:
             await asyncio.gather(
-                self.pump(reader, target_stream[1], Direction.TO_TARGET),
-                self.pump(target_stream[0], writer, Direction.TO_CLIENT),
+                self.pump(
+                    reader, target_stream[1], Direction.TO_TARGET, number
+                ),
+                self.pump(
+                    target_stream[0], writer, Direction.TO_CLIENT, number
+                ),
             )
         except (OSError, asyncio.CancelledError):
             # One side has reset the connection, or the run ends: reset the
@@ -93,13 +106,18 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
+        number: int,
     ) -> None:
-        """Forward one direction until the end of its stream."""
+        """Forward one direction of a connection until its stream ends."""
         is_silent = False
         while content := await reader.read(CHUNK_BYTES):
             if self.faults.delay_s:
                 await asyncio.sleep(self.faults.delay_s)
-            is_silent = is_silent or direction in self.faults.blocked
+            is_silent = (
+                is_silent
+                or direction in self.faults.blocked
+                or number <= self.silenced
+            )
             if is_silent:
                 continue
             writer.write(content)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,8 +11,15 @@
 
 from egretmill.host.metrics import HostMetrics
 from egretmill.host.program import BootLoop
-from egretmill.host.settings import Endpoint
-from egretmill.tables import RowKey, StoreProblem, Write
+from egretmill.host.settings import Bounds, Endpoint
+from egretmill.tables import (
+    PollTiming,
+    RowKey,
+    StoreProblem,
+    TableWatch,
+    Write,
+)
+from soak.links import TcpLink
 from standins.tables import TableServer, make_application
 
 
@@ -167,3 +174,59 @@
         assert problem_of(await store.read('t')) is StoreProblem.MALFORMED
 
     run_with_store(scenario)
+
+
+class LastVersionListener:
+    """Keeps the content of the row that was read last."""
+
+    def __init__(self):
+        """Start without a row."""
+        self.content = None
+
+    def replace_rows(self, rows):
+        """Keep the last row."""
+        for row in rows:
+            self.apply_change(row)
+
+    def apply_change(self, row):
+        """Keep the row."""
+        self.content = row.content
+
+    def confirm_current(self, sent_at):
+        """Ignore the age of the copy."""
+
+
+async def wait_for_content(listener, content, timeout_s):
+    """Wait until a listener has the content of a row."""
+    async with asyncio.timeout(timeout_s):
+        while listener.content != content:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('idle_connections', [1, 2, 4])
+def test_change_is_read_in_time_although_idle_connections_went_silent(
+    idle_connections,
+):
+    """Guards against finding out about silent connections one at a time."""
+
+    async def scenario(store, server):
+        server.put('op', 'config', b'old')
+        link = TcpLink((store.endpoint.address, store.endpoint.port))
+        await link.open()
+        store.endpoint = Endpoint(*link.address)
+        listener = LastVersionListener()
+        watch = TableWatch(store, 'op', listener, PollTiming(0, interval_s=60))
+        following = asyncio.create_task(watch.run())
+        await wait_for_content(listener, b'old', 1)
+        await asyncio.gather(
+            *(store.read('op') for _ in range(idle_connections)),
+        )
+        assert len(store.idle) == idle_connections
+        link.silence_open_connections()
+        server.put('op', 'config', b'new')
+        watch.poll_now()
+        await wait_for_content(listener, b'new', Bounds().apply_s)
+        following.cancel()
+        link.close()
+
+    run_with_store(scenario)
