--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -163,6 +163,12 @@
         logging.INFO,
         'Once per second: age of each copy, who confirmed it, at what age.',
     )
+    STORE_CONNECTION_LOST = Event(
+        216,
+        'store_connection_lost',
+        logging.INFO,
+        'An idle connection gave no answer; the read is sent on a new one.',
+    )
     REQUEST_ROUTED = Event(
         301,
         'request_routed',
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -11,6 +11,7 @@
     FailureCause,
     connect,
 )
+from egretmill.http1.idle import IdleConnections
 from egretmill.http1.messages import Body, RequestHead, Response
 from egretmill.http1.response_reader import BufferBudget
 from egretmill.http1.server import (
@@ -28,6 +29,7 @@
     'ClientConnection',
     'ConnectionLimits',
     'FailureCause',
+    'IdleConnections',
     'PendingAnswer',
     'RequestHandler',
     'RequestHead',
--- a/soak/links.py
+++ b/soak/links.py
@@ -58,6 +58,11 @@
             self.server.close()
         self.reset()
 
+    async def wait_closed(self) -> None:
+        """Wait until the connections that were reset have ended."""
+        while self.writers:
+            await asyncio.sleep(0)
+
     def silence_open_connections(self) -> None:
         """Drop all further bytes of the connections that are open now."""
         self.silenced = self.opened
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -228,5 +228,6 @@
         await wait_for_content(listener, b'new', Bounds().apply_s)
         following.cancel()
         link.close()
+        await link.wait_closed()
 
     run_with_store(scenario)
