Close idle connections to an upstream when a call gets no answer

What callers saw: after connections had gone silent, one late or failed request for each silent idle connection to an upstream, up to eight.

Cause: the same class of fault as in the store client, found by looking for it elsewhere: idle connections that failed together were found one by one.

A call without an answer closes the idle connections that have carried nothing since it was sent.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -212,6 +212,7 @@
         except asyncio.CancelledError:
             if self.remaining_s <= 0:
                 attempt_result = AttemptResult.timed_out()
+                state.pool.close_unused_since(load.record.name, self.sent_at)
             raise
         finally:
             now = state.now()
@@ -274,6 +275,8 @@
         finally:
             timer.cancel()
         self.in_flight = False
+        if isinstance(attempted, Err):
+            self.state.pool.close_unused_since(record.name, now)
         self.state.pool.release(selected.load, connection)
         return attempted
 
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -1,6 +1,5 @@
 """Load and idle connections of all upstreams."""
 
-import collections
 from collections.abc import Mapping
 
 from result import Ok, Result
@@ -12,6 +11,7 @@
     BufferBudget,
     CallFailure,
     ClientConnection,
+    IdleConnections,
     connect,
 )
 from egretmill.placement.load import UpstreamLoad
@@ -28,9 +28,6 @@
 COLD_RATE_OWNERS = 4
 #: Idle connections that are kept per upstream.
 MAX_IDLE_CONNECTIONS = 8
-#: A connection is reused until this time before the idle timeout that the
-#: upstream states, in seconds.
-IDLE_TIMEOUT_MARGIN_S = 1.0
 
 OrderKey = tuple[str, str, frozenset[str], bool]
 
@@ -52,7 +49,7 @@
         self.region = region
         self.loads: dict[str, UpstreamLoad] = {}
         self.services: Mapping[str, Service] = {}
-        self.idle: dict[str, collections.deque[ClientConnection]] = {}
+        self.idle: dict[str, IdleConnections] = {}
         self.cached_orders: dict[OrderKey, tuple[UpstreamLoad, ...]] = {}
         self.generation = -1
         self.buffers = BufferBudget()
@@ -144,13 +141,9 @@
         :param max_idle_s: longest idle time of a reused connection.
         """
         idle = self.idle.get(load.record.name)
-        while idle:
-            connection = idle.pop()
-            if not connection.is_usable:
-                continue
-            if _is_reusable(connection, now, max_idle_s):
-                return Ok(connection)
-            connection.abort()
+        connection = idle.take(now, max_idle_s) if idle else None
+        if connection is not None:
+            return Ok(connection)
         record = load.record
         opened = await connect(
             record.address, record.port, timeout_s, self.buffers
@@ -167,15 +160,26 @@
         if current is not load or load.record.is_leaving:
             connection.abort()
             return
-        idle = self.idle.setdefault(load.record.name, collections.deque())
-        idle.append(connection)
-        if len(idle) > MAX_IDLE_CONNECTIONS:
-            idle.popleft().abort()
+        idle = self.idle.get(load.record.name)
+        if idle is None:
+            idle = IdleConnections(MAX_IDLE_CONNECTIONS)
+            self.idle[load.record.name] = idle
+        idle.put(connection)
 
     def close_idle(self, name: str) -> None:
         """Close the idle connections of an upstream."""
-        for connection in self.idle.pop(name, ()):
-            connection.abort()
+        idle = self.idle.pop(name, None)
+        if idle is not None:
+            idle.close()
+
+    def close_unused_since(self, name: str, sent_at: float) -> None:
+        """Close idle connections after a call to an upstream got no answer.
+
+        :param sent_at: when the call was sent.
+        """
+        idle = self.idle.get(name)
+        if idle is not None:
+            idle.close_unused_since(sent_at)
 
     def _compute_order(self, key: OrderKey) -> tuple[UpstreamLoad, ...]:
         service, object_key, home_regions, near_first = key
@@ -211,16 +215,3 @@
         if service is not None and service.cold_per_s:
             load.slow_start.mark_cold(now + upstream.cold_s, now)
             load.slow_start.set_rate(self.cold_rate(upstream, service))
-
-
-def _is_reusable(
-    connection: ClientConnection,
-    now: float,
-    max_idle_s: float,
-) -> bool:
-    idle_s = now - connection.idle_since
-    if connection.keep_alive_s is not None:
-        max_idle_s = min(
-            max_idle_s, connection.keep_alive_s - IDLE_TIMEOUT_MARGIN_S
-        )
-    return idle_s <= max_idle_s
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -12,6 +12,7 @@
 from egretmill.host.request_check import check_request
 from egretmill.host.program import BootLoop
 from egretmill.http1 import Body
+from soak.links import TcpLink
 from egretmill.placement import ServiceTimes
 from tests.host.fakes import make_head, make_state, upstream
 
@@ -289,3 +290,37 @@
     ]
     _, sent = run(*scripts, change=expect_fast_responses)
     assert sent == 2
+
+
+async def exchange_in_turn(state, paths):
+    """Run requests one after the other; return their results."""
+    ended = []
+    for path in paths:
+        head = make_head(path)
+        request = check_request(head, state, random.Random(1)).ok_value
+        ended.append(await Exchange(state, Pending(head, b''), request).run())
+    return ended
+
+
+def test_connections_that_went_silent_together_delay_one_request():
+    """Guards against one late request for each silent idle connection."""
+
+    async def scenario():
+        answers = [response()] * 8
+        script = ScriptedUpstream(*answers, delay_s=0.05)
+        server = await asyncio.start_server(script.serve, '127.0.0.1', 0)
+        link = TcpLink(server.sockets[0].getsockname())
+        await link.open()
+        state = make_state(upstream('u0', link.address[1]))
+        await asyncio.gather(
+            *(exchange_in_turn(state, [b'/r/1']) for _ in range(4))
+        )
+        link.silence_open_connections()
+        ended = await exchange_in_turn(state, [b'/r/1'] * 3)
+        link.close()
+        await link.wait_closed()
+        server.close()
+        return [outcome.is_ok() for outcome in ended]
+
+    with asyncio.Runner(loop_factory=BootLoop) as runner:
+        assert runner.run(scenario()) == [False, True, True]
