State the age of a copy only beside the digest it belongs to

What callers could see: a host that keeps serving an outdated version, or uses a part of the rates that a new member owns by then, because a peer confirmed the outdated copy as fresh.

Cause: a heartbeat took digests from a cache that the next tick or heartbeat renews, but ages from the clock. The first reply after a read named the data of before the read with the age of the read. For the roster each read was open to it, for the configuration a read just after a change of the reader role.

Evidence: the new test failed for all three topics (configuration, roster, upstreams).

A heartbeat now takes digest and age in one step.

--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -82,7 +82,6 @@
     def tick(self) -> None:
         """Send a heartbeat to each peer; update live peers and the own role."""
         now = self.state.now()
-        self.read_policy.update_own_digests()
         self.state.accounts.refresh(now)
         shortages = {
             account: (round(row.need, 4), round(row.held, 4))
@@ -107,8 +106,8 @@
                 if self.link is not None:
                     self.link.send(changes, peer.address)
         previous_digest = self.read_policy.digests.get(Topic.CONFIGURATION)
-        self.read_policy.update_own_digests()
-        if previous_digest != self.read_policy.digests[Topic.CONFIGURATION]:
+        digests = self.read_policy.update_own_digests()
+        if previous_digest != digests[Topic.CONFIGURATION]:
             self.tick()
 
     def send_heartbeat(
@@ -133,10 +132,14 @@
         loans: dict[str, float],
         now: float,
     ) -> Heartbeat:
-        """Return the heartbeat for a peer."""
+        """Return the heartbeat for a peer.
+
+        Each age belongs to the digest beside it: a peer with the same digest
+        takes the age over.
+        """
         state = self.state
         settings = state.settings
-        digests = self.read_policy.digests
+        digests = self.read_policy.update_own_digests()
         answers = 0.0
         if (
             peer.heartbeat is not None
@@ -242,9 +245,9 @@
         :param request_sent_at: boot time at which this host sent the heartbeat
             that the peer's one acknowledges.
         """
-        self.read_policy.update_own_digests()
+        digests = self.read_policy.update_own_digests()
         for topic, report in topic_reports(heartbeat).items():
-            if report.digest == self.read_policy.digests[topic]:
+            if report.digest == digests[topic]:
                 if report.age_s >= 0:
                     self.state.freshness(topic).confirm(
                         request_sent_at - report.age_s,
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -1,6 +1,7 @@
 """All state of one host; changed on one event loop only."""
 
 import dataclasses
+import functools
 from collections.abc import Callable
 
 import xxhash
@@ -34,6 +35,8 @@
 #: Fraction of the tolerated excess over a rate that hosts use to smooth its
 #: division; the rest covers clock differences and messages in transit.
 USED_TOLERANCE_FRACTION = 0.5
+#: Cached digests of rosters; each heartbeat states the current one.
+ROSTER_DIGESTS_CACHE_SIZE = 8
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -168,13 +171,11 @@
         match topic:
             case Topic.CONFIGURATION:
                 domains = ','.join(sorted(self.view.evacuated))
-                text = f'{self.view.version}/{domains}'
+                return _digest_text(f'{self.view.version}/{domains}')
             case Topic.UPSTREAMS:
                 return self.view.upstreams.digest
             case Topic.ROSTER:
-                members = ','.join(sorted(self.share.members))
-                text = f'{members}/{",".join(sorted(self.suspects))}'
-        return xxhash.xxh3_64_intdigest(text.encode()) >> 1
+                return _roster_digest(self.share.members, self.suspects)
 
     def freshness(self, topic: Topic) -> Freshness:
         """Return how fresh the data of a topic is."""
@@ -189,3 +190,14 @@
     def remove_upstream(self, upstream: Upstream) -> None:
         """Remove the state of an upstream that is no longer registered."""
         self.pool.remove(upstream)
+
+
+@functools.lru_cache(maxsize=ROSTER_DIGESTS_CACHE_SIZE)
+def _roster_digest(members: frozenset[str], suspects: frozenset[str]) -> int:
+    return _digest_text(
+        f'{",".join(sorted(members))}/{",".join(sorted(suspects))}'
+    )
+
+
+def _digest_text(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode()) >> 1
--- a/egretmill/host/store_read_policy.py
+++ b/egretmill/host/store_read_policy.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Mapping
 
 from egretmill.fleet.view import Topic
 from egretmill.host.state import HostState
@@ -76,13 +77,14 @@
         #: Latest unknown digest of upstreams, and when it was first received.
         self.latest_unseen = (0, 0.0)
 
-    def update_own_digests(self) -> None:
-        """Recompute the own digests."""
+    def update_own_digests(self) -> Mapping[Topic, int]:
+        """Remember changed own digests; return the current ones."""
         for topic in Topic:
             digest = self.state.digest(topic)
             if digest != self.digests.get(topic):
                 self.digests[topic] = digest
                 self.recent_digests[topic].append(digest)
+        return self.digests
 
     def should_read_store(
         self, topic: Topic, report: TopicReport, now: float
--- a/tests/host/test_heartbeats.py
+++ b/tests/host/test_heartbeats.py
@@ -8,7 +8,7 @@
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.peers import Heartbeat, PeerTable
 from egretmill.peers.table import DESIGNATED_READERS
-from tests.host.fakes import make_state, upstream
+from tests.host.fakes import configuration, make_state, upstream
 
 NOW = 1000.0
 ADDRESS = ('10.0.0.2', 7000)
@@ -199,3 +199,53 @@
         )
         service.handle_heartbeat(differing, ADDRESS)
     assert len(reads) == 2
+
+
+class RecordingLink:
+    """Keeps the datagrams that are sent."""
+
+    def __init__(self):
+        """Start without datagrams."""
+        self.sent = []
+
+    def send(self, datagram, address):
+        """Keep a datagram."""
+        self.sent.append(datagram)
+
+
+def read_configuration(state):
+    """Apply a newer version, as a read of the store does."""
+    state.apply_configuration(configuration(version=2))
+
+
+def read_roster(state):
+    """Apply a roster with one more host, as a read of the store does."""
+    now = boot_time()
+    state.share.apply_roster(('h1', 'h9'), now, now)
+
+
+def read_upstreams(state):
+    """Apply a new upstream, as a read of the store does."""
+    state.view.put_upstream(upstream('u9'))
+
+
+@pytest.mark.parametrize(
+    ('topic', 'read', 'field'),
+    [
+        (Topic.CONFIGURATION, read_configuration, 'knowledge'),
+        (Topic.ROSTER, read_roster, 'roster'),
+        (Topic.UPSTREAMS, read_upstreams, 'upstreams'),
+    ],
+)
+def test_reply_states_the_age_of_the_data_that_it_names(topic, read, field):
+    """Guards against confirming the data of before a read by its time."""
+    service, _ = make_service()
+    service.link = RecordingLink()
+    service.is_designated_reader = True
+    service.tick()
+    read(service.state)
+    service.state.freshness(topic).confirm(boot_time())
+    service.handle_heartbeat(matching_heartbeat(service), ADDRESS)
+    assert [getattr(reply, field) for reply in service.link.sent] == [
+        service.state.digest(topic),
+    ]
