--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -25,6 +25,8 @@
 #: First and longest pause after a failed call, in seconds.
 INITIAL_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.8
+#: Pause after an answer that did not confirm the copy, in seconds.
+UNCONFIRMED_PAUSE_S = 0.25
 #: A shorter wait is skipped to save the wake-up, in seconds.
 MIN_WAIT_S = 0.1
 
@@ -166,6 +168,8 @@
         if self.poll_requested.is_set():
             return
         remaining_s = self.timing.max_age_s - self.freshness.age(self.now())
+        if remaining_s <= 0:
+            await self.pause(UNCONFIRMED_PAUSE_S)
         while remaining_s > 0:
             await self.pause(remaining_s * self.rng.uniform(0.8, 1))
             if self.poll_requested.is_set():
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -288,3 +288,17 @@
         ('store_call_failed', 1.0),
         ('rows_read', 1.0),
     ]
+
+
+async def test_answers_that_confirm_nothing_do_not_cause_calls_without_end():
+    """Guards against polling in a loop while a row cannot be decoded."""
+    answers = [Ok(Snapshot((), 1)), *[Ok(Changes((), 1))] * 50]
+    store = ScriptedStore(*answers)
+    timing = PollTiming(0, max_age_s=2)
+    watch = TableWatch(
+        store, 't', RecordingListener(), timing, store.now, Freshness()
+    )
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await watch.run()
+    assert store.calls == ['read']
