--- a/soak/links.py
+++ b/soak/links.py
@@ -23,15 +23,25 @@
     """Faults of one link.
 
     :param delay_s: added to each chunk before it is forwarded.
+    :param bytes_per_s: rate of each direction of a connection; 0 for no limit.
     :param blocked: directions in which bytes are dropped. A connection that
         lost bytes forwards nothing more in that direction.
     :param refuse_connections: new connections are reset.
     """
 
     delay_s: float = 0
+    bytes_per_s: float = 0
     blocked: frozenset[Direction] = frozenset()
     refuse_connections: bool = False
 
+    async def pass_through(self, length: int) -> None:
+        """Wait for as long as a number of bytes takes."""
+        wait_s = self.delay_s
+        if self.bytes_per_s:
+            wait_s += length / self.bytes_per_s
+        if wait_s:
+            await asyncio.sleep(wait_s)
+
 
 class TcpLink:
     """TCP proxy in front of one address."""
@@ -116,8 +126,7 @@
         """Forward one direction of a connection until its stream ends."""
         is_silent = False
         while content := await reader.read(CHUNK_BYTES):
-            if self.faults.delay_s:
-                await asyncio.sleep(self.faults.delay_s)
+            await self.faults.pass_through(len(content))
             is_silent = (
                 is_silent
                 or direction in self.faults.blocked
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """The store client, with a stand-in store that can fail."""
 
 import asyncio
+import contextlib
 
 import pytest
 from adapter import store as store_module
@@ -19,7 +20,7 @@
     TableWatch,
     Write,
 )
-from soak.links import TcpLink
+from soak.links import LinkFaults, TcpLink
 from standins.tables import TableServer, make_application
 
 
@@ -196,6 +197,25 @@
         """Ignore the age of the copy."""
 
 
+@contextlib.asynccontextmanager
+async def follow_over_link(store, server):
+    """Follow a row over a link; yield the link, the watch and its listener."""
+    server.put('op', 'config', b'old')
+    link = TcpLink((store.endpoint.address, store.endpoint.port))
+    await link.open()
+    store.endpoint = Endpoint(*link.address)
+    listener = LastVersionListener()
+    watch = TableWatch(store, 'op', listener, PollTiming(0, interval_s=60))
+    following = asyncio.create_task(watch.run())
+    await wait_for_content(listener, b'old', 1)
+    try:
+        yield link, watch, listener
+    finally:
+        following.cancel()
+        link.close()
+        await link.wait_closed()
+
+
 async def wait_for_content(listener, content, timeout_s):
     """Wait until a listener has the content of a row."""
     async with asyncio.timeout(timeout_s):
@@ -210,24 +230,37 @@
     """Guards against finding out about silent connections one at a time."""
 
     async def scenario(store, server):
-        server.put('op', 'config', b'old')
-        link = TcpLink((store.endpoint.address, store.endpoint.port))
-        await link.open()
-        store.endpoint = Endpoint(*link.address)
-        listener = LastVersionListener()
-        watch = TableWatch(store, 'op', listener, PollTiming(0, interval_s=60))
-        following = asyncio.create_task(watch.run())
-        await wait_for_content(listener, b'old', 1)
-        await asyncio.gather(
-            *(store.read('op') for _ in range(idle_connections)),
-        )
-        assert len(store.idle) == idle_connections
-        link.silence_open_connections()
-        server.put('op', 'config', b'new')
-        watch.poll_now()
-        await wait_for_content(listener, b'new', Bounds().apply_s)
-        following.cancel()
-        link.close()
-        await link.wait_closed()
+        async with follow_over_link(store, server) as (link, watch, listener):
+            await asyncio.gather(
+                *(store.read('op') for _ in range(idle_connections)),
+            )
+            assert len(store.idle) == idle_connections
+            link.silence_open_connections()
+            server.put('op', 'config', b'new')
+            watch.poll_now()
+            await wait_for_content(listener, b'new', Bounds().apply_s)
+
+    run_with_store(scenario)
+
+
+@pytest.mark.parametrize(
+    ('faults', 'content'),
+    [
+        (LinkFaults(delay_s=0.9), b'new'),
+        (LinkFaults(bytes_per_s=220_000), b'new' * 100_000),
+    ],
+    ids=['each packet late', 'long answer'],
+)
+def test_change_is_read_over_a_busy_link_without_starting_again(
+    faults, content
+):
+    """Guards against dropping an answer that is still on its way."""
+
+    async def scenario(store, server):
+        async with follow_over_link(store, server) as (link, watch, listener):
+            link.faults = faults
+            server.put('op', 'config', content)
+            watch.poll_now()
+            await wait_for_content(listener, content, Bounds().apply_s)
 
     run_with_store(scenario)
