Send nothing to an upstream that has left while the host connected

What callers could see: a request sent to an upstream that the host knew to be gone, with an answer that breaks off.

Cause: the choice of an upstream was made before the connection was opened, and not looked at again after it; opening takes 1 s and longer when a packet is lost. Class of fault: a decision on a copy that changes before it is acted on.

After connecting, an upstream that is gone, leaving or in an evacuated failure domain is left; nothing was sent, so the request goes elsewhere or is refused as not run.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -17,6 +17,7 @@
     Call,
     CallFailure,
     ClientConnection,
+    FailureCause,
     PendingAnswer,
     Response,
 )
@@ -250,6 +251,12 @@
         if isinstance(acquired, Err):
             return acquired
         connection: ClientConnection = acquired.ok_value
+        if not self.state.pool.is_eligible(selected.load):
+            self.state.pool.release(selected.load, connection)
+            self.retry_reserved = self.attempts > 0
+            return Err(
+                CallFailure(FailureCause.CANCELLED, False, 'upstream has left')
+            )
         self.attempts += 1
         self.tried.add(record.name)
         now = self.state.now()
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -128,6 +128,15 @@
             self.cached_orders[key] = order
         return order
 
+    def is_eligible(self, load: UpstreamLoad) -> bool:
+        """Return whether a chosen upstream may still get a request."""
+        record = load.record
+        return (
+            self.loads.get(record.name) is load
+            and not record.is_leaving
+            and record.failure_domain not in self.view.evacuated
+        )
+
     async def acquire(
         self,
         load: UpstreamLoad,
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 
 import pytest
 from result import Err, Ok
 
 from egretmill.errors import ErrorKind, Outcome
+from egretmill.fleet.upstreams import UpstreamState
 from egretmill.host.exchange import Exchange
 from egretmill.host.request_check import check_request
 from egretmill.host.program import BootLoop
@@ -324,3 +326,43 @@
 
     with asyncio.Runner(loop_factory=BootLoop) as runner:
         assert runner.run(scenario()) == [False, True, True]
+
+
+def leave_service(state, record):
+    """Report that an upstream is shutting down."""
+    leaving = dataclasses.replace(record, state=UpstreamState.LEAVING)
+    state.view.put_upstream(leaving)
+
+
+def drop_registration(state, record):
+    """Remove an upstream that is no longer registered."""
+    state.remove_upstream(state.view.upstreams.remove(record.name))
+
+
+def evacuate_domain(state, record):
+    """Evacuate the failure domain of an upstream."""
+    state.view.apply_evacuations(frozenset((record.failure_domain,)))
+
+
+@pytest.mark.parametrize(
+    'take_away', [leave_service, drop_registration, evacuate_domain]
+)
+@pytest.mark.parametrize('path', [b'/r/1', b'/o/1'])
+def test_upstream_that_leaves_while_the_host_connects_gets_no_request(
+    take_away, path
+):
+    """Guards against a choice that is outdated when the request is sent."""
+
+    def change(state):
+        acquire = state.pool.acquire
+
+        async def acquire_slowly(load, *arguments):
+            acquired = await acquire(load, *arguments)
+            take_away(state, load.record)
+            return acquired
+
+        state.pool.acquire = acquire_slowly
+
+    ended, sent = run(ScriptedUpstream(response()), path=path, change=change)
+    assert sent == 0
+    assert ended.err_value.outcome is Outcome.NOT_RUN
