Read upstreams after a missed push although the peers' digests change

What callers could see: requests sent to upstreams that had left up to 2 s before, and the same for upstreams that were new.

Cause: a host that hears of other data waits 0.1 s for the push of a designated reader, but each further digest started that wait anew. During a series of changes every heartbeat of a large fleet states another digest, so a host that had missed a push read nothing until its copy was 2.0 s old.

The wait counts from the first unknown digest since the last push or read.

--- a/egretmill/host/store_read_policy.py
+++ b/egretmill/host/store_read_policy.py
@@ -74,8 +74,9 @@
             for topic in Topic
         }
         self.last_read_at: dict[Topic, float] = {}
-        #: Latest unknown digest of upstreams, and when it was first received.
-        self.latest_unseen = (0, 0.0)
+        #: Since when peers have stated unknown digests of upstreams; ``None``
+        #: after a push or a read.
+        self.unseen_since: float | None = None
 
     def update_own_digests(self) -> Mapping[Topic, int]:
         """Remember changed own digests; return the current ones."""
@@ -84,6 +85,8 @@
             if digest != self.digests.get(topic):
                 self.digests[topic] = digest
                 self.recent_digests[topic].append(digest)
+                if topic is Topic.UPSTREAMS:
+                    self.unseen_since = None
         return self.digests
 
     def should_read_store(
@@ -95,9 +98,7 @@
         """
         local_age_s = self.state.freshness(topic).age(now)
         is_unseen = report.digest not in self.recent_digests[topic]
-        if is_unseen and not self.has_waited_for_push(
-            topic, report.digest, now
-        ):
+        if is_unseen and not self.has_waited_for_push(topic, now):
             return False
         age_allowance_s, min_interval_s = (
             (MAX_CALL_S, MIN_READ_INTERVAL_S)
@@ -108,15 +109,19 @@
         if report.age_s - age_allowance_s >= local_age_s or not is_due:
             return False
         self.last_read_at[topic] = now
+        if topic is Topic.UPSTREAMS:
+            self.unseen_since = None
         self.recent_digests[topic].append(report.digest)
         return True
 
-    def has_waited_for_push(
-        self, topic: Topic, digest: int, now: float
-    ) -> bool:
-        """Return whether a push of this digest should have arrived."""
+    def has_waited_for_push(self, topic: Topic, now: float) -> bool:
+        """Return whether a push of what the peers have should have arrived.
+
+        The wait counts from the first unknown digest: during a series of
+        changes, each heartbeat may state another one.
+        """
         if topic is not Topic.UPSTREAMS:
             return True
-        if self.latest_unseen[0] != digest:
-            self.latest_unseen = (digest, now)
-        return now - self.latest_unseen[1] >= PUSH_WAIT_S
+        if self.unseen_since is None:
+            self.unseen_since = now
+        return now - self.unseen_since >= PUSH_WAIT_S
--- a/tests/host/test_heartbeats.py
+++ b/tests/host/test_heartbeats.py
@@ -5,6 +5,7 @@
 from egretmill.fleet.freshness import boot_time
 from egretmill.fleet.view import Topic
 from egretmill.host.heartbeats import HeartbeatService
+from egretmill.host.store_read_policy import PUSH_WAIT_S
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.peers import Heartbeat, PeerTable
 from egretmill.peers.table import DESIGNATED_READERS
@@ -249,3 +250,22 @@
     assert [getattr(reply, field) for reply in service.link.sent] == [
         service.state.digest(topic),
     ]
+
+
+def test_missed_push_is_made_up_for_while_peers_differ(monkeypatch):
+    """Guards against a wait that each further digest starts anew."""
+    service, reads = make_service()
+    freshness = service.state.freshness(Topic.UPSTREAMS)
+    started_at = boot_time()
+    freshness.confirmed_at = started_at - 1
+    for number in range(20):
+        now = started_at + number * PUSH_WAIT_S / 4
+        monkeypatch.setattr(service.state, 'now', lambda at=now: at)
+        heartbeat = matching_heartbeat(
+            service, upstreams=number + 1, sent_at=now, answers=now - 0.1
+        )
+        service.handle_heartbeat(heartbeat, ADDRESS)
+        if reads:
+            break
+    assert reads == [Topic.UPSTREAMS]
+    assert now - started_at < 2 * PUSH_WAIT_S
