Let reads over a busy link finish instead of starting them again

What callers saw: requests handled by a version that had been replaced more than 3 s before, by hosts that the store serves and that had been calm.

Behind a queue on the host's link, or for a large configuration on a link of 10 Mbit/s, each attempt fails in the same way, although every answer is on its way. Class of fault: a time limit on the whole of something that is making progress, whose end throws the progress away.

A read is now sent again on a new connection after a silence of 0.4 s (idle connection) or 1 s, without giving the first attempt up; the first complete answer counts. A read fails after 3 s without any byte. Connections have 1.5 s to open, which includes one repeated first packet. So a silent connection costs 0.4 s as before, and a late answer is used.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -163,11 +163,11 @@
         logging.INFO,
         'Once per second: age of each copy, who confirmed it, at what age.',
     )
-    STORE_CONNECTION_LOST = Event(
+    STORE_READ_REPEATED = Event(
         216,
-        'store_connection_lost',
+        'store_read_repeated',
         logging.INFO,
-        'An idle connection gave no answer; the read is sent on a new one.',
+        'A read without an answer so far is sent on a new connection too.',
     )
     REQUEST_ROUTED = Event(
         301,
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -13,6 +13,11 @@
 )
 from egretmill.http1.idle import IdleConnections
 from egretmill.http1.messages import Body, RequestHead, Response
+from egretmill.http1.overlapping import (
+    OverlappingRead,
+    ReadAttempt,
+    ReadTiming,
+)
 from egretmill.http1.response_reader import BufferBudget
 from egretmill.http1.server import (
     ConnectionLimits,
@@ -30,7 +35,10 @@
     'ConnectionLimits',
     'FailureCause',
     'IdleConnections',
+    'OverlappingRead',
     'PendingAnswer',
+    'ReadAttempt',
+    'ReadTiming',
     'RequestHandler',
     'RequestHead',
     'Response',
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -104,6 +104,7 @@
     """A connection that carries one call at a time.
 
     :param idle_since: loop time at which the last call ended.
+    :param received_at: loop time at which the last bytes arrived, 0 at first.
     :param keep_alive_s: how long the upstream keeps an idle connection open, in
         seconds; ``None`` if it does not say.
     """
@@ -121,6 +122,7 @@
         self.sent = False
         self.reusable = True
         self.idle_since = self.loop.time()
+        self.received_at = 0.0
         self.keep_alive_s: float | None = None
         self.calls = 0
 
@@ -174,6 +176,7 @@
         if self.reader is None or self.waiter is None or self.waiter.done():
             self.abort()
             return
+        self.received_at = self.loop.time()
         self.reader.feed(data)
 
     def response_received(self, response: Response) -> None:
