Refuse requests while peers have a newer configuration that was not read

What callers saw: requests without a key, and within 4.7 s keyed ones, handled by a version that had been replaced; by up to 22 s at hosts that the store turned away, and by seconds at hosts whose links delay the store's answers.

Cause: a host used its copy at any age for known routes, although its peers stated in each heartbeat that theirs was another one and younger. Class of fault: knowledge about the age of a copy that the decision does not use.

A host that has known for more than 1.0 s that a peer's copy differs and was confirmed later than its own refuses with 503, not run, and a Retry-After of 0.5 s, until its own copy is confirmed later than that. With the time until it hears of a change this stays within the time for applying a version, whatever keeps it from reading. Without news at the peers, as when the store is down for all, it goes on serving.

--- a/egretmill/fleet/view.py
+++ b/egretmill/fleet/view.py
@@ -6,6 +6,7 @@
 
 from egretmill.fleet.configuration import FleetConfiguration
 from egretmill.fleet.freshness import Freshness, boot_time
+from egretmill.fleet.lag import CopyLag
 from egretmill.fleet.upstreams import Upstream, UpstreamList
 
 __all__ = ('FleetView', 'Topic')
@@ -39,6 +40,7 @@
     configuration_freshness: Freshness = dataclasses.field(
         default_factory=Freshness
     )
+    configuration_lag: CopyLag = dataclasses.field(default_factory=CopyLag)
     evacuated: frozenset[str] = frozenset()
     readmitted_at: dict[str, float] = dataclasses.field(default_factory=dict)
     upstreams: UpstreamList = dataclasses.field(default_factory=UpstreamList)
@@ -79,3 +81,15 @@
     def configuration_age_s(self) -> float:
         """Return the greatest possible age of the API keys, in seconds."""
         return self.configuration_freshness.age(self.now())
+
+    def configuration_lag_s(self) -> float:
+        """Return for how long peers have had a newer configuration."""
+        return self.configuration_lag.lag_s(
+            self.configuration_freshness, self.now()
+        )
+
+    def is_configuration_outdated(self) -> bool:
+        """Return whether no request may be decided by the configuration."""
+        return self.configuration_lag.is_outdated(
+            self.configuration_freshness, self.now()
+        )
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -254,7 +254,12 @@
                         heartbeat.host,
                         report.age_s,
                     )
-            elif self.read_policy.should_read_store(topic, report, now):
+                continue
+            if topic is Topic.CONFIGURATION:
+                self.state.view.configuration_lag.record_difference(
+                    report.age_s, self.state.freshness(topic), now
+                )
+            if self.read_policy.should_read_store(topic, report, now):
                 self.on_difference(topic)
 
     def activate_share(self, now: float) -> None:
--- a/egretmill/host/request_check.py
+++ b/egretmill/host/request_check.py
@@ -66,6 +66,10 @@
     configuration = state.configuration
     if configuration is None:
         return _refuse(ErrorKind.NOT_READY, 'no configuration is known')
+    if state.view.is_configuration_outdated():
+        lag_s = state.view.configuration_lag_s()
+        detail = f'peers have had a newer configuration for {lag_s:.1f} s'
+        return _refuse(ErrorKind.UNCONFIRMED, detail, UNCONFIRMED_RETRY_S)
     authority = head.fields.get(b'host', b'').decode('latin-1').lower()
     target = head.target.decode('latin-1')
     path = target.partition('?')[0]
--- a/tests/host/test_heartbeats.py
+++ b/tests/host/test_heartbeats.py
@@ -1,15 +1,25 @@
 """Confirmations and store reads that heartbeats of peers cause."""
 
+import random
+
 import pytest
 
+from egretmill.errors import ErrorKind
 from egretmill.fleet.freshness import boot_time
+from egretmill.fleet.lag import OUTDATED_AFTER_S
 from egretmill.fleet.view import Topic
 from egretmill.host.heartbeats import HeartbeatService
+from egretmill.host.request_check import check_request
 from egretmill.host.store_read_policy import PUSH_WAIT_S
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.peers import Heartbeat, PeerTable
 from egretmill.peers.table import DESIGNATED_READERS
-from tests.host.fakes import configuration, make_state, upstream
+from tests.host.fakes import (
+    configuration,
+    make_head,
+    make_state,
+    upstream,
+)
 
 NOW = 1000.0
 ADDRESS = ('10.0.0.2', 7000)
@@ -269,3 +279,35 @@
             break
     assert reads == [Topic.UPSTREAMS]
     assert now - started_at < 2 * PUSH_WAIT_S
+
+
+@pytest.mark.parametrize(
+    ('heard_for_s', 'peer_age_s', 'caught_up', 'outcome'),
+    [
+        (OUTDATED_AFTER_S + 0.1, 0.2, False, ErrorKind.UNCONFIRMED),
+        (OUTDATED_AFTER_S - 0.1, 0.2, False, None),
+        (OUTDATED_AFTER_S + 0.1, 9.0, False, None),
+        (OUTDATED_AFTER_S + 0.1, 0.2, True, None),
+    ],
+)
+@pytest.mark.parametrize('path', [b'/p/1', b'/r/1', b'/x/'])
+def test_no_request_is_decided_by_a_version_that_peers_have_replaced(
+    monkeypatch, heard_for_s, peer_age_s, caught_up, outcome, path
+):
+    """Guards against an old version at a host that cannot read the store."""
+    service, _ = make_service()
+    view = service.state.view
+    started_at = boot_time()
+    view.configuration_freshness.confirmed_at = started_at - 1
+    service.handle_heartbeat(
+        matching_heartbeat(service, knowledge=1, knowledge_age=peer_age_s),
+        ADDRESS,
+    )
+    if caught_up:
+        view.configuration_freshness.confirm(boot_time())
+    monkeypatch.setattr(view, 'now', lambda: started_at + heard_for_s)
+    checked = check_request(make_head(path), service.state, random.Random(1))
+    refusal = checked.err_value if checked.is_err() else None
+    if outcome is None and path == b'/x/':
+        outcome = ErrorKind.UNKNOWN_ROUTE
+    assert (refusal and refusal.kind) == outcome
