Divide the rate that an upstream in need states among the hosts

What upstreams saw: far more requests than the limit that they had named in `Server-Limit`; callers, requests that such an upstream was too weak to answer.

Cause: nothing read the header (hypothesis 1). Read by each host for itself, the limit would add up over the hosts (hypothesis 2). Class of fault: a limit of the fleet that each host applies alone; accounts and cold upstreams were looked at and divide theirs. The rate of a cold upstream is divided by its owners without the waits of the roster; that stays as it is and is listed as open.

Each signed answer states the limit anew or ends it; two owners pass on what they know with its age. Only hosts to which look-ups send callers own a part, so roster entries state the capacity of their host. A request that the limit alone refuses is told when the limit allows one.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -169,6 +169,12 @@
         logging.INFO,
         'A read without an answer so far is sent on a new connection too.',
     )
+    UPSTREAM_LIMITED = Event(
+        217,
+        'upstream_limited',
+        logging.INFO,
+        'An upstream states a limit on the rate from all hosts, or its end.',
+    )
     REQUEST_ROUTED = Event(
         301,
         'request_routed',
@@ -325,6 +331,12 @@
         logging.WARNING,
         'A frame between programs could not be decoded.',
     )
+    HEADER_MALFORMED = Event(
+        803,
+        'header_malformed',
+        logging.WARNING,
+        'A header of an upstream could not be decoded; it is not used.',
+    )
     HANDLER_FAILED = Event(
         802,
         'handler_failed',
--- a/egretmill/host/attempt_result.py
+++ b/egretmill/host/attempt_result.py
@@ -12,6 +12,7 @@
 from egretmill.http1 import CallFailure, FailureCause, Response
 from egretmill.placement.load import LoadReport
 from egretmill.placement.observations import ObservationKind
+from egretmill.placement.stated_limit import StatedRate
 
 __all__ = ('AttemptResult', 'classify_attempt')
 
@@ -32,6 +33,8 @@
         the caller unless another attempt succeeds.
     :param refusal: the answer when no other attempt follows.
     :param load_report: load that the upstream stated in its response.
+    :param stated_rate: what the response says of the upstream's limit;
+        ``None`` if it says nothing of it.
     :param maybe_run: the upstream may have run the request.
     :param handled: the upstream has handled the request's object.
     """
@@ -42,6 +45,7 @@
     failed_response: Response | None = None
     refusal: Refusal | None = None
     load_report: LoadReport | None = None
+    stated_rate: StatedRate | None = None
     maybe_run: bool = False
     handled: bool = False
 
@@ -69,6 +73,36 @@
     if isinstance(attempt, Err):
         return _classify_failure(attempt.err_value)
     response = attempt.ok_value
+    return dataclasses.replace(
+        _classify_response(response, dialect, route),
+        stated_rate=parse_stated_rate(response, dialect),
+    )
+
+
+def parse_stated_rate(
+    response: Response, dialect: Dialect
+) -> StatedRate | None:
+    """Return what a response says of its upstream's limit.
+
+    Only a signed response without the header shows that there is no limit:
+    an upstream may reject a request before it adds its own headers, and a
+    misdirected request was answered by another upstream.
+    """
+    if response.status == HTTP_MISDIRECTED:
+        return None
+    is_signed = dialect.signature in response.fields
+    text = response.fields.get(dialect.rate_limit)
+    if text is None:
+        return StatedRate() if is_signed else None
+    if not is_signed and dialect.not_run not in response.fields:
+        return None
+    rate_per_s = dialect.decode_rate(text)
+    return None if rate_per_s is None else StatedRate(rate_per_s)
+
+
+def _classify_response(
+    response: Response, dialect: Dialect, route: Route
+) -> AttemptResult:
     load_report = parse_load_report(response.fields.get(dialect.load))
     if response.status == HTTP_MISDIRECTED:
         return _rejection('misdirected', ObservationKind.REFUSED, load_report)
--- a/egretmill/host/capacity.py
+++ b/egretmill/host/capacity.py
@@ -1,8 +1,9 @@
 """Computes the capacity of a host. No I/O."""
 
 import dataclasses
+from collections.abc import Mapping
 
-__all__ = ('Capacity',)
+__all__ = ('Capacity', 'find_large')
 
 #: Processor time of one request, its part of heartbeats and logs included, in
 #: core seconds (docs/machines.md: 0.08 of a core at 35 requests per second).
@@ -11,6 +12,12 @@
 #: from the caller and again to the upstream (users' sheets: 6.5 KB each).
 REQUEST_BYTES = 13_000
 BYTES_PER_MEGABIT = 125_000
+#: A host counts as large with at least this fraction of the largest host's
+#: capacity: a smaller one would be full under an even spread while the others
+#: are at a quarter of their load.
+MIN_LARGE_RATIO = 0.25
+#: Only the large hosts are used if these have this fraction of all capacity.
+MIN_LARGE_CAPACITY_FRACTION = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,3 +39,27 @@
         by_processor = self.share * self.cores / REQUEST_CPU_S
         by_link = self.link_mbps * BYTES_PER_MEGABIT / REQUEST_BYTES
         return min(by_processor, by_link)
+
+
+def find_large(capacities_per_s: Mapping[str, float]) -> frozenset[str]:
+    """Return the hosts that work may be spread over evenly.
+
+    Small hosts are included when the large ones do not have most of the
+    capacity, or when the capacity of some host is not known.
+
+    :param capacities_per_s: requests per second by host, 0 for unknown.
+    """
+    largest = max(capacities_per_s.values(), default=0)
+    large = frozenset(
+        name
+        for name, capacity_per_s in capacities_per_s.items()
+        if capacity_per_s >= largest * MIN_LARGE_RATIO
+    )
+    total = sum(capacities_per_s.values())
+    large_total = sum(capacities_per_s[name] for name in large)
+    if (
+        large_total < total * MIN_LARGE_CAPACITY_FRACTION
+        or 0 in capacities_per_s.values()
+    ):
+        return frozenset(capacities_per_s)
+    return large
--- a/egretmill/host/dialect.py
+++ b/egretmill/host/dialect.py
@@ -1,7 +1,7 @@
 """Platform-specific header names and statuses, provided by the adapter."""
 
 import dataclasses
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from egretmill.errors import ANSWERS, ErrorKind
 
@@ -19,6 +19,9 @@
     :param account: the client account, set for upstreams.
     :param target: the only upstream that may run the request.
     :param load: running, waiting and slots of the upstream.
+    :param rate_limit: requests per second that the upstream takes from all
+        hosts together, while it is in need.
+    :param decode_rate: decodes that header; ``None`` when it is malformed.
     :param not_run: present when the upstream has not run the request.
     :param statuses: statuses of this host's answers by kind of error, where
         they differ from the defaults.
@@ -31,6 +34,8 @@
     account: bytes
     target: bytes
     load: bytes
+    rate_limit: bytes
+    decode_rate: Callable[[bytes], float | None]
     not_run: bytes
     statuses: Mapping[ErrorKind, int] = dataclasses.field(default_factory=dict)
 
--- a/egretmill/host/directory.py
+++ b/egretmill/host/directory.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterator, Sequence
 
+from egretmill.host.capacity import find_large
 from egretmill.host.state import HostState
 from egretmill.peers.datagrams import Heartbeat
 
@@ -16,12 +17,6 @@
 #: Hosts that suffice for the callers of a failure domain: if one is lost, the
 #: other remains until the next look-up.
 MIN_HOSTS = 2
-#: A host counts as large with at least this fraction of the largest host's
-#: capacity: a smaller one would be full under an even spread while the others
-#: are at a quarter of their load.
-MIN_LARGE_RATIO = 0.25
-#: Callers use only the large hosts if these have this fraction of all capacity.
-MIN_LARGE_CAPACITY_FRACTION = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,20 +66,10 @@
     """Return the hosts that callers may be spread over evenly.
 
     A caller picks one of the named hosts at random, so one that is far
-    smaller than the others would be full first. Small hosts are included
-    when the large ones do not have most of the capacity.
+    smaller than the others would be full first.
     """
-    largest = max((row.capacity_per_s for row in hosts), default=0)
-    large = [
-        row for row in hosts if row.capacity_per_s >= largest * MIN_LARGE_RATIO
-    ]
-    total = sum(row.capacity_per_s for row in hosts)
-    if (
-        sum(row.capacity_per_s for row in large)
-        < total * MIN_LARGE_CAPACITY_FRACTION
-    ):
-        return hosts
-    return large
+    large = find_large({row.address: row.capacity_per_s for row in hosts})
+    return [row for row in hosts if row.address in large]
 
 
 def _addresses(hosts: Sequence[EntryHost]) -> tuple[str, ...]:
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -229,6 +229,10 @@
             ).inc()
         if attempt_result.load_report is not None:
             load.record_report(attempt_result.load_report, now)
+        if attempt_result.stated_rate is not None:
+            state.limits_of_upstreams.record_answer(
+                load, attempt_result.stated_rate, now
+            )
         if attempt_result.handled:
             _record_latency(self, selected, now - self.sent_at)
         self.maybe_run = self.maybe_run or attempt_result.maybe_run
@@ -421,6 +425,7 @@
         load=round(load.estimated_requests(now), 1),
         report_age_s=round(min(now - load.reported_at, 999), 3),
         slots=load.record.slots,
+        stated_rate_per_s=load.stated_limit.rate_per_s,
         warm=selected.is_warm,
         expected_ms=int(selected.expected_s * 1000),
         left_ms=int(exchange.remaining_s * 1000),
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -83,6 +83,7 @@
         """Send a heartbeat to each peer; update live peers and the own role."""
         now = self.state.now()
         self.state.accounts.refresh(now)
+        self.state.limits_of_upstreams.refresh(now)
         shortages = {
             account: (round(row.need, 4), round(row.held, 4))
             for account, row in self.state.accounts.find_shortages(now).items()
@@ -164,6 +165,7 @@
             settings.capacity.requests_per_s,
             digests[Topic.UPSTREAMS],
             state.freshness(Topic.UPSTREAMS).age(now),
+            state.limits_of_upstreams.announcements(now),
         )
 
     def grant_loans(
@@ -220,6 +222,9 @@
             heartbeat.host, heartbeat.loans, request_sent_at
         )
         self.compare_digests(heartbeat, request_sent_at, now)
+        state.limits_of_upstreams.apply_announcements(
+            heartbeat.limits, heartbeat.host, now
+        )
         self.activate_share(now)
 
     def reply_if_reader(self, peer: Peer, now: float) -> None:
--- a/egretmill/host/roster_keeper.py
+++ b/egretmill/host/roster_keeper.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from egretmill import events
+from egretmill.host.capacity import find_large
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
 from egretmill.shares.loans import LOAN_S
@@ -40,12 +41,14 @@
     :param suspected: another host has received no heartbeats from it.
     :param known_by_all: every other host counts this one, so a restarted
         incarnation need not wait for them.
+    :param capacity_per_s: capacity in requests per second, 0 for unknown.
     """
 
     address: str
     port: int
     suspected: bool = False
     known_by_all: bool = False
+    capacity_per_s: float = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,7 +92,10 @@
         previous = self.rows.get(settings.name)
         was_known = previous is not None and previous.entry.known_by_all
         entry = RosterEntry(
-            settings.address, settings.peer_port, known_by_all=was_known
+            settings.address,
+            settings.peer_port,
+            known_by_all=was_known,
+            capacity_per_s=round(settings.capacity.requests_per_s, 1),
         )
         expected_version = self.row_versions.get(settings.name, 0)
         stored_version = await self.write_entry(
@@ -248,7 +254,10 @@
             name for name, row in self.rows.items() if row.entry.suspected
         )
         now = self.state.now()
-        if self.state.share.apply_roster(self.rows, sent_at, now):
+        candidates = find_large(
+            {name: row.entry.capacity_per_s for name, row in self.rows.items()}
+        )
+        if self.state.share.apply_roster(self.rows, sent_at, now, candidates):
             self.state.peers.apply_roster(
                 {
                     name: (row.entry.address, row.entry.port)
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -14,6 +14,7 @@
 from egretmill.host.metrics import HostMetrics
 from egretmill.host.settings import HostSettings
 from egretmill.host.remote_tokens import RemoteTokens
+from egretmill.host.upstream_limits import UpstreamLimits
 from egretmill.host.upstreams import UpstreamPool
 from egretmill.http1 import ConnectionLimits
 from egretmill.peers.table import PeerTable
@@ -60,6 +61,7 @@
     budget: RetryBudget
     pool: UpstreamPool
     tokens: RemoteTokens
+    limits_of_upstreams: UpstreamLimits
     work: dict[str, ServiceTimes] = dataclasses.field(default_factory=dict)
     urgent_waits: UrgentWaits = dataclasses.field(default_factory=UrgentWaits)
     incarnation: int = 0
@@ -108,6 +110,7 @@
             ),
             pool,
             RemoteTokens(accounts, peers, settings.region, boot_time),
+            UpstreamLimits(pool.loads, share),
         )
 
     @property
@@ -175,7 +178,9 @@
             case Topic.UPSTREAMS:
                 return self.view.upstreams.digest
             case Topic.ROSTER:
-                return _roster_digest(self.share.members, self.suspects)
+                return _roster_digest(
+                    self.share.members, self.share.candidates, self.suspects
+                )
 
     def freshness(self, topic: Topic) -> Freshness:
         """Return how fresh the data of a topic is."""
@@ -193,10 +198,8 @@
 
 
 @functools.lru_cache(maxsize=ROSTER_DIGESTS_CACHE_SIZE)
-def _roster_digest(members: frozenset[str], suspects: frozenset[str]) -> int:
-    return _digest_text(
-        f'{",".join(sorted(members))}/{",".join(sorted(suspects))}'
-    )
+def _roster_digest(*names: frozenset[str]) -> int:
+    return _digest_text('/'.join(','.join(sorted(group)) for group in names))
 
 
 def _digest_text(text: str) -> int:
--- a/egretmill/peers/datagrams.py
+++ b/egretmill/peers/datagrams.py
@@ -20,6 +20,20 @@
 FractionByAccount = dict[str, float]
 
 
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """What an upstream has stated about its limit, as a host knows it.
+
+    :param rate_per_s: requests per second from all hosts together; ``None``
+        when the upstream has stated no limit any more.
+    :param age_s: seconds since the statement.
+    :param incarnation: of the upstream.
+    """
+
+    rate_per_s: float | None
+    age_s: float
+    incarnation: int
+
+
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag='beat'):
     """State of a host, sent to one peer; also acknowledges its last heartbeat.
 
@@ -36,6 +50,7 @@
     :param upstreams: digest of the list of upstreams.
     :param upstreams_age: seconds since it was confirmed to be current;
         negative when it never was.
+    :param limits: stated limits and their ends, by upstream.
     :param shortages: needed and held fraction of the limit, by client account.
     :param loans: fraction lent to the receiver, by client account.
     :param room: capacity of the host in requests per second.
@@ -58,6 +73,7 @@
     room: float = 1
     upstreams: int = 0
     upstreams_age: float = -1
+    limits: dict[str, LimitReport] = {}
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -186,4 +186,10 @@
         cold = [load for load in order if load.slow_start.is_cold(self.now)]
         if full or backing_off or cold:
             return NoCapacity(self.service_times.warm_s)
+        limited = [load.stated_limit for load in order if load.is_limited]
+        if limited:
+            waits_s = (limit.wait_s(self.now) for limit in limited)
+            return NoCapacity(
+                min(filter(None, waits_s), default=self.service_times.warm_s)
+            )
         return NoUpstream('all upstreams are left out after failures')
--- a/egretmill/placement/load.py
+++ b/egretmill/placement/load.py
@@ -8,6 +8,7 @@
 from egretmill.placement.slow_start import SlowStartLimit
 from egretmill.placement.health import MAX_BACKOFF_S, Health
 from egretmill.placement.observations import ObservationKind
+from egretmill.placement.stated_limit import StatedLimit
 
 __all__ = ('LoadReport', 'UpstreamLoad')
 
@@ -71,6 +72,7 @@
         report when it was last suspected to be cold.
     :param connection_failed: whether the last failure occurred before
         anything was sent.
+    :param stated_limit: limit that the upstream states for all hosts.
     :param warm_objects: time of the last request by object, oldest first.
     """
 
@@ -89,6 +91,7 @@
     slow_start: SlowStartLimit = dataclasses.field(
         default_factory=SlowStartLimit
     )
+    stated_limit: StatedLimit = dataclasses.field(default_factory=StatedLimit)
     warm_objects: 'collections.OrderedDict[str, float]' = dataclasses.field(
         default_factory=collections.OrderedDict,
     )
@@ -120,10 +123,17 @@
         """
         if now < self.backoff_until or not self.slow_start.can_send(now):
             return False
+        if not self.stated_limit.can_send(now):
+            return False
         # If the connection fails again, nothing of the request is sent.
         can_probe = idempotent or self.connection_failed
         return self.health.can_send(now, idempotent=can_probe)
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether it states a limit for all hosts."""
+        return self.stated_limit.rate_per_s is not None
+
     def is_stalled(self, now: float, service_s: float) -> bool:
         """Return whether requests are in flight but none gets a response."""
         if not self.in_flight:
@@ -144,6 +154,7 @@
             self.last_response_at = now
         self.in_flight += 1
         self.slow_start.record_request(now)
+        self.stated_limit.record_request(now)
         self.health.begin()
 
     def finish(
@@ -217,6 +228,7 @@
         self.backoff_until = 0
         self.suspected_cold_at_report = 0
         self.health = _make_health()
+        self.stated_limit = StatedLimit()
         self.warm_objects.clear()
 
     def _mark_warm(self, object_key: str, now: float) -> None:
--- a/egretmill/shares/roster.py
+++ b/egretmill/shares/roster.py
@@ -10,7 +10,7 @@
 import dataclasses
 import functools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -35,11 +35,13 @@
 class PreviousRoster:
     """A previous roster that still limits the fraction of this host.
 
+    :param candidates: those that may own limits of upstreams.
     :param until: boot time at which the leases of its removed members have
         ended.
     """
 
     members: frozenset[str]
+    candidates: frozenset[str]
     until: float
 
 
@@ -49,6 +51,8 @@
 
     :param host: name of this host.
     :param members: hosts in the roster as last read.
+    :param candidates: members that may own limits of upstreams. Without
+        callers, a host would leave its part unused.
     :param freshness: when the roster was last known to be current.
     :param active_at: boot time from which this host uses its fraction.
     :param earliest_at: boot time until which a previous incarnation of this
@@ -59,6 +63,7 @@
 
     host: str
     members: frozenset[str] = frozenset()
+    candidates: frozenset[str] = frozenset()
     freshness: Freshness = dataclasses.field(default_factory=Freshness)
     active_at: float = math.inf
     earliest_at: float = 0
@@ -93,20 +98,29 @@
         return self.active_at - now
 
     def apply_roster(
-        self, members: Iterable[str], sent_at: float, now: float
+        self,
+        members: Iterable[str],
+        sent_at: float,
+        now: float,
+        candidates: Iterable[str] | None = None,
     ) -> bool:
         """Apply the roster read from the store; return whether it changed.
 
         :param sent_at: boot time at which the read was sent.
+        :param candidates: ``None`` for all members.
         """
         current = frozenset(members)
+        owning = current if candidates is None else frozenset(candidates)
         self.freshness.confirm(sent_at)
-        if current == self.members:
+        if current == self.members and owning == self.candidates:
             return False
-        if self.members - current:
+        if self.members - current or self.candidates - owning:
             until = now + ROSTER_LEASE_S + MARGIN_S
-            self.previous_rosters.append(PreviousRoster(self.members, until))
+            self.previous_rosters.append(
+                PreviousRoster(self.members, self.candidates, until)
+            )
         self.members = current
+        self.candidates = owning
         return True
 
     def max_members(self, now: float) -> int:
@@ -117,14 +131,16 @@
 
     def effective_rosters(self, now: float) -> list[frozenset[str]]:
         """Return the current roster and the previous ones still in force."""
-        self.previous_rosters = [
-            previous
-            for previous in self.previous_rosters
-            if previous.until > now
-        ]
         return [
             self.members,
-            *(previous.members for previous in self.previous_rosters),
+            *(previous.members for previous in self._find_previous(now)),
+        ]
+
+    def effective_candidates(self, now: float) -> list[frozenset[str]]:
+        """Return the candidates of the rosters in force."""
+        return [
+            self.candidates,
+            *(previous.candidates for previous in self._find_previous(now)),
         ]
 
     def fraction(self, now: float) -> float:
@@ -137,7 +153,27 @@
         :param name: of the limit; determines which hosts own it.
         :param owners: wanted number of owners.
         """
-        rosters = self.effective_rosters(now)
+        return self._owned_fraction(
+            name, owners, self.effective_rosters(now), now
+        )
+
+    def fraction_of_upstream(self, name: str, owners: int, now: float) -> float:
+        """Return the owned fraction of a limit that an upstream states.
+
+        :param name: of the upstream.
+        :param owners: wanted number of owners.
+        """
+        return self._owned_fraction(
+            name, owners, self.effective_candidates(now), now
+        )
+
+    def _owned_fraction(
+        self,
+        name: str,
+        owners: int,
+        rosters: Sequence[frozenset[str]],
+        now: float,
+    ) -> float:
         if any(
             self.host not in owners_of(name, owners, members)
             for members in rosters
@@ -146,6 +182,14 @@
         max_owners = max(min(owners, len(members)) for members in rosters)
         return self._usable_fraction(1 / max(max_owners, 1), now)
 
+    def _find_previous(self, now: float) -> list[PreviousRoster]:
+        self.previous_rosters = [
+            previous
+            for previous in self.previous_rosters
+            if previous.until > now
+        ]
+        return self.previous_rosters
+
     def _usable_fraction(self, owned: float, now: float) -> float:
         if self.host not in self.members or now < self.active_at:
             return 0
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -25,6 +25,8 @@
     b'x-account',
     b'x-target',
     b'x-load',
+    b'x-rate-limit',
+    float,
     b'x-not-run',
 )
 LOCAL = Endpoint('127.0.0.1', 0)
--- a/tests/host/test_heartbeats.py
+++ b/tests/host/test_heartbeats.py
@@ -13,6 +13,7 @@
 from egretmill.host.store_read_policy import PUSH_WAIT_S
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.peers import Heartbeat, PeerTable
+from egretmill.peers.datagrams import LimitReport
 from egretmill.peers.table import DESIGNATED_READERS
 from tests.host.fakes import (
     configuration,
@@ -311,3 +312,22 @@
     if outcome is None and path == b'/x/':
         outcome = ErrorKind.UNKNOWN_ROUTE
     assert (refusal and refusal.kind) == outcome
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'incarnation', 'is_limited'),
+    [(0.2, 1, True), (9.0, 1, False), (0.2, 2, False)],
+)
+def test_limit_of_an_earlier_time_is_not_applied(
+    age_s, incarnation, is_limited
+):
+    """Guards against limits from before a suspension or a restart."""
+    service, _ = make_service()
+    service.state.view.put_upstream(upstream('u0'))
+    heartbeat = matching_heartbeat(
+        service,
+        answers=boot_time() - age_s,
+        limits={'u0': LimitReport(4.0, 0.1, incarnation)},
+    )
+    service.handle_heartbeat(heartbeat, ADDRESS)
+    assert service.state.pool.loads['u0'].is_limited is is_limited
--- a/tests/host/test_roster_keeper.py
+++ b/tests/host/test_roster_keeper.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from egretmill.fleet.view import Topic
+from egretmill.host.capacity import Capacity
 from egretmill.host.roster_keeper import (
     ROSTER_TABLE,
     SUSPECT_AFTER_S,
@@ -75,6 +76,7 @@
             name=name,
             address='10.0.0.1',
             peer_port=PORT,
+            capacity=Capacity(),
         )
         self.store = store
         self.keeper = RosterKeeper(self.state, store)
--- a/tests/shares/test_roster.py
+++ b/tests/shares/test_roster.py
@@ -163,3 +163,29 @@
                 share.fraction_of(name, 2, now) for share in shares.values()
             ]
             assert sum(fractions_of_limit) <= 1 + 1e-9
+
+
+def test_hosts_without_callers_own_no_limit_of_an_upstream():
+    """Guards against parts of a limit that nobody uses."""
+    members = [f'h{number}' for number in range(32)]
+    large = members[:12]
+    owned = []
+    for name in members:
+        share = FleetShare(name)
+        share.record_joined(NOW - 60, 0)
+        share.apply_roster(members, NOW, NOW, large)
+        owned.append(share.fraction_of_upstream('u1', 8, NOW))
+    assert sum(owned) == pytest.approx(1)
+    assert not any(owned[len(large) :])
+
+
+def test_host_that_becomes_an_owner_waits_for_the_previous_ones():
+    """Guards against parts that add up to more than one during a change."""
+    share = FleetShare('a')
+    share.record_joined(NOW - 60, 0)
+    share.apply_roster(('a', 'b', 'c'), NOW, NOW, ('b', 'c'))
+    share.apply_roster(('a', 'b', 'c'), NOW, NOW, ('a',))
+    assert share.fraction_of_upstream('u1', 2, NOW) == 0
+    later = NOW + ROSTER_LEASE_S + 1
+    share.freshness.confirm(later)
+    assert share.fraction_of_upstream('u1', 2, later) == 1
