Take no request in the second half of a planned stop

What callers saw: requests that were sent late during a planned stop, also such that may run only once, were cut off without an answer at the end of the grace.

Cause: after the listener was closed, a connection with a request in flight went on taking requests until the grace ended, and new connections until 0.6 of it; an upstream may work on a request for longer than the rest. Class of fault: work is accepted without regard to the time that is left for it.

After half of the grace each connection answers what it has taken and closes; requests behind the last answer count as unprocessed for the caller.

--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -36,9 +36,10 @@
 CONNECTION_BACKLOG = 1024
 #: Polling of the roster: a copy counts as fresh for half of the roster's lease.
 ROSTER_POLL_TIMING = PollTiming(wait_s=0, interval_s=0.2, max_age_s=3.0)
-#: Fraction of the grace period for which a stopping host accepts connections;
-#: callers cache a directory answer for some seconds.
-ACCEPTING_FRACTION = 0.6
+#: Fraction of the grace period for which a stopping host takes requests, as
+#: callers cache a directory answer for some seconds. A request that is taken
+#: later may still be at an upstream when the grace ends.
+ACCEPTING_FRACTION = 0.5
 #: It stops accepting earlier after this time without requests, in seconds.
 IDLE_BEFORE_CLOSE_S = 1.5
 #: Fraction of the grace period after which running requests are cut off; the
@@ -229,8 +230,7 @@
         await self.wait_for_idle(now + grace_s * ACCEPTING_FRACTION)
         listeners.close()
         for connection in tuple(self.handler.connections):
-            if not connection.is_busy:
-                connection.shut_down()
+            connection.drain()
         drain_until = now + grace_s * DRAIN_FRACTION
         while self.handler.connections and self.state.now() < drain_until:
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -163,6 +163,8 @@
         self.queue: collections.deque[PendingAnswer] = collections.deque()
         self.receiving: PendingAnswer | None = None
         self.closing = False
+        #: No further request is taken; those taken before are answered.
+        self.draining = False
         #: The last answer is sent, and the rest of its request is still being
         #: read and discarded before the close.
         self.lingering = False
@@ -218,7 +220,7 @@
 
     def head_received(self, head: RequestHead, *, keep_alive: bool) -> None:
         """Start to serve the request."""
-        if self.closing or self.transport is None:
+        if self.closing or self.draining or self.transport is None:
             return
         head.received_at = self.loop.time()
         pending = PendingAnswer(self, head, Body(self.resume_reading))
@@ -293,6 +295,15 @@
         if len(self.queue) < MAX_PIPELINED_REQUESTS:
             self.set_reading(enabled=True)
 
+    def drain(self) -> None:
+        """Answer the requests that were taken, then close the connection.
+
+        Requests behind the last answer count as unprocessed for the caller.
+        """
+        self.draining = True
+        if not self.is_serving:
+            self.shut_down()
+
     def shut_down(self) -> None:
         """Stop accepting requests and close the connection."""
         self.closing = True
@@ -325,7 +336,7 @@
     """
     if connection.queue or connection.receiving not in {None, pending}:
         return False
-    if not pending.keep_alive or connection.closing:
+    if not pending.keep_alive or connection.closing or connection.draining:
         return True
     return connection.handler.leaving and pending.body.complete
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -1,5 +1,7 @@
 """Server connections: pipelining, early answers, limits and closing."""
 
+import asyncio
+
 import pytest
 
 from egretmill.http1 import ConnectionLimits
@@ -89,6 +91,22 @@
         assert not await reader.read()
 
 
+async def test_draining_connection_takes_no_further_request():
+    """Guards against a pipelining caller who keeps a connection open."""
+    recorder = Recorder(leaving=True)
+    async with serve_connection(recorder) as (reader, writer):
+        writer.write(GET_A)
+        await wait_until(lambda: recorder.requests)
+        recorder.connections[0].drain()
+        writer.write(GET_B)
+        await asyncio.sleep(0.05)
+        recorder.requests[0].answer(ok_response())
+        head, _ = await read_response(reader)
+        assert b'Connection: close' in head
+        assert not await reader.read()
+        assert len(recorder.requests) == 1
+
+
 @pytest.mark.parametrize(
     ('request_bytes', 'status'),
     [
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -318,6 +318,43 @@
     assert answered.count(200) >= CALLERS
 
 
+async def test_planned_stop_answers_all_requests_of_a_busy_connection(
+    environment,
+):
+    """Guards against requests taken so late that the stop cuts them off.
+
+    The caller always has a request in flight, so the connection is never idle.
+    """
+    environment.upstream.delay_s = 1.0
+    reader, writer = await asyncio.open_connection(
+        ADDRESS, environment.ports['entry']
+    )
+    answered = asyncio.create_task(reader.read())
+    sent = 0
+
+    async def keep_sending():
+        nonlocal sent
+        while not answered.done():
+            sent += 1
+            identifier = b'p-%d' % sent
+            writer.write(
+                b'GET /a/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n'
+                b'Egretmill-Request-Id: %b\r\n\r\n' % identifier
+            )
+            await asyncio.sleep(0.4)
+
+    sending = asyncio.create_task(keep_sending())
+    await asyncio.sleep(1)
+    environment.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(TIMEOUT_S):
+        content = await answered
+        assert await environment.process.wait() == 0
+    sending.cancel()
+    taken = environment.upstream.request_ids
+    assert content.count(b'HTTP/1.1 200') == len(taken) > 2
+    assert content.count(b'Connection: close') == 1
+
+
 async def test_store_outage_refuses_keyed_requests(environment):
     """Guards against accepting keys that the store no longer confirms."""
     environment.store.faults.status = 503
