Test a repeated refusal and a head that breaks off

Two reports of other operators that do not happen here: a refusal that is written once more on a kept connection, with and without the identifier of its request, and an answer whose head breaks off, at each length.

--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -16,6 +16,7 @@
 from egretmill.http1 import Body
 from soak.links import TcpLink
 from egretmill.placement import ServiceTimes
+from egretmill.placement.health import Health
 from tests.host.fakes import make_head, make_state, upstream
 
 SIGNED = b'X-Signature: s\r\n'
@@ -366,3 +367,44 @@
     ended, sent = run(ScriptedUpstream(response()), path=path, change=change)
     assert sent == 0
     assert ended.err_value.outcome is Outcome.NOT_RUN
+
+
+REFUSALS = (
+    response(503, NOT_RUN),
+    b'HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+)
+
+
+@pytest.mark.parametrize('repeated', REFUSALS)
+@pytest.mark.parametrize('path', [b'/r/2', b'/o/2'])
+@pytest.mark.parametrize('is_answered', [True, False])
+def test_repeated_refusal_says_nothing_of_the_next_request(
+    repeated, path, is_answered
+):
+    """Guards against "not run" for a request that an upstream is running."""
+    answer = response().replace(b'id1', b'id2') if is_answered else b''
+    script = ScriptedUpstream(REFUSALS[0], repeated + answer)
+
+    async def scenario():
+        server = await asyncio.start_server(script.serve, '127.0.0.1', 0)
+        state = make_state(upstream('u0', server.sockets[0].getsockname()[1]))
+        outcomes = []
+        for identifier in (b'id1', b'id2'):
+            head = make_head(path, x_request_id=identifier)
+            request = check_request(head, state, random.Random(1)).ok_value
+            running = Exchange(state, Pending(head, b''), request).run()
+            outcomes.append(await running)
+            state.pool.loads['u0'].backoff_until = 0
+            state.pool.loads['u0'].health = Health()
+        server.close()
+        state.pool.close_idle('u0')
+        return outcomes
+
+    with asyncio.Runner(loop_factory=BootLoop) as runner:
+        first, second = runner.run(scenario())
+    assert first.err_value.outcome is Outcome.NOT_RUN
+    assert script.count() == 2
+    if is_answered:
+        assert second.ok_value.status == 200
+    else:
+        assert second.err_value.outcome is Outcome.UNKNOWN
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -83,6 +83,18 @@
     assert not connection.is_usable
 
 
+HEAD_BYTES = encode_response(b'1').index(b'\r\n\r\n') + 4
+
+
+@pytest.mark.parametrize('length', range(1, HEAD_BYTES))
+async def test_head_that_breaks_off_fails_the_call(length):
+    """Guards against an empty answer that looks whole."""
+    response = encode_response(b'1')[:length]
+    (outcome,), connection = await call_scripted_upstream([response])
+    assert outcome.err_value.cause is FailureCause.CLOSED
+    assert not connection.is_usable
+
+
 async def test_response_without_length_ends_with_the_connection():
     """Guards against dropping responses without ``Content-Length``."""
     response = b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole'
