Let a replayed fault begin after the load before it has ended

Cause: the fault of the trace began 0.117 s after the last request of the load that should not meet it, by the clock. A process that is stalled for longer sends these requests into the fault.

Times of a trace can now count from the end of a step. The checks are unchanged, and a second trace plays the stall of 0.25 s.

--- a/tests/entry/features/operations.feature
+++ b/tests/entry/features/operations.feature
@@ -20,6 +20,10 @@
     When the trace "site-sheds" is replayed
     Then everything ends as the trace says
 
+  Scenario: A stalled process retries no more while a site sheds
+    When the trace "site-sheds-after-stall" is replayed
+    Then everything ends as the trace says
+
   Scenario: Writes wait for a confirmed version, reads do not
     When the trace "unconfirmed-version" is replayed
     Then everything ends as the trace says
--- a/tests/entry/replay.py
+++ b/tests/entry/replay.py
@@ -1,13 +1,16 @@
 """Replays a trace (JSON Lines) against an entry program in the test process.
 
-Each line is one event at a time in seconds; ``do`` names a method of
-:class:`Replay`. ``expect`` holds the expected fields of the method's
+Each line is one event at a time in seconds, from the start or from the end
+of the step that ``after`` names; ``do`` names a method of :class:`Replay`.
+``expect`` holds the expected fields of the method's
 result: a value, or a bound when the field begins with ``most`` or
 ``least``. An event that does not end as expected becomes a failure.
 """
 
 import asyncio
+import collections
 import pathlib
+import time
 
 import msgspec
 
@@ -27,6 +30,8 @@
 
     at: float
     do: str
+    step: str = ''
+    after: str = ''
     name: str = ''
     request: str = ''
     headers: dict[str, str] = {}
@@ -49,6 +54,9 @@
         self.entry = entry
         self.failures: list[str] = []
         self.served_before: dict[str, int] = {}
+        self.ended: dict[str, asyncio.Event] = collections.defaultdict(
+            asyncio.Event
+        )
         self.connections: dict[str, tuple] = {}
         store = FakeStore(FakeTable())
         claims = ClaimService(store, 'host-1', 1, lambda *_: True)
@@ -56,8 +64,11 @@
 
     async def run(self, event: Event) -> None:
         """Carry out one event at its time and check its result."""
+        if event.after:
+            await self.ended[event.after].wait()
         await asyncio.sleep(event.at)
         observed = await getattr(self, event.do)(event) or {}
+        self.ended[event.step].set()
         for field, expected in event.expect.items():
             measured = observed.get(field)
             limit, _, name = field.partition(' ')
@@ -121,6 +132,10 @@
         upstreams = self.entry.upstreams.values()
         return sum(up.served + up.shed for up in upstreams)
 
+    async def stall(self, event: Event) -> None:
+        """Keep the process from running, as a busy machine does."""
+        time.sleep(event.for_s)
+
     async def ask(self, event: Event) -> dict:
         """Make a request on a named connection, which is kept open."""
         if event.name not in self.connections:
