Read the configuration from a peer while the store brings nothing

Class of fault: one way to the data, although others have it. The upstreams' table has a second way, the designated readers' messages; the roster is used by its lease.

A host that has known for 0.5 s that a peer's configuration is newer reads the operator's table from that peer, over TCP on the port of the heartbeats. It uses rows that hold as of a newer version of the store only, checks them as the store's, and follows the store from there.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -175,6 +175,18 @@
         logging.INFO,
         'An upstream states a limit on the rate from all hosts, or its end.',
     )
+    COPY_RECEIVED = Event(
+        218,
+        'copy_received',
+        logging.INFO,
+        'The configuration was read from a peer; says whether it was newer.',
+    )
+    COPY_NOT_RECEIVED = Event(
+        219,
+        'copy_not_received',
+        logging.WARNING,
+        'A peer with a newer configuration did not pass it on.',
+    )
     REQUEST_ROUTED = Event(
         301,
         'request_routed',
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -35,6 +35,10 @@
     """Ignore changed upstreams."""
 
 
+def ignore_peer(peer: Peer) -> None:
+    """Ignore a peer with a newer configuration."""
+
+
 class HeartbeatService:
     """Sends a heartbeat to each peer in every interval and handles theirs.
 
@@ -53,6 +57,8 @@
         self.state = state
         self.on_changes = on_changes
         self.on_difference = on_difference
+        #: Called with a peer that has a newer configuration.
+        self.on_newer_configuration: Callable[[Peer], None] = ignore_peer
         self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.live_names: frozenset[str] = frozenset()
@@ -251,6 +257,9 @@
             that the peer's one acknowledges.
         """
         digests = self.read_policy.update_own_digests()
+        self.state.view.configuration_lag.record_own(
+            digests[Topic.CONFIGURATION]
+        )
         for topic, report in topic_reports(heartbeat).items():
             if report.digest == digests[topic]:
                 if report.age_s >= 0:
@@ -261,12 +270,24 @@
                     )
                 continue
             if topic is Topic.CONFIGURATION:
-                self.state.view.configuration_lag.record_difference(
-                    report.age_s, self.state.freshness(topic), now
-                )
+                self.record_newer_configuration(heartbeat, now)
             if self.read_policy.should_read_store(topic, report, now):
                 self.on_difference(topic)
 
+    def record_newer_configuration(
+        self, heartbeat: Heartbeat, now: float
+    ) -> None:
+        """Record another configuration of a peer, if it is the newer one."""
+        view = self.state.view
+        is_newer = view.configuration_lag.record_difference(
+            heartbeat.knowledge,
+            heartbeat.knowledge_age,
+            view.configuration_freshness,
+            now,
+        )
+        if is_newer:
+            self.on_newer_configuration(self.state.peers.peers[heartbeat.host])
+
     def activate_share(self, now: float) -> None:
         """Activate the own share once every member has the current roster."""
         share = self.state.share
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -9,8 +9,7 @@
 from typing import Protocol
 
 from result import Err, Result
-from tornado import web
-from tornado.httpserver import HTTPServer
+from tornado import httpserver, web
 
 from egretmill import events
 from egretmill.fleet.freshness import boot_time
@@ -18,6 +17,7 @@
 from egretmill.host.heartbeats import HeartbeatService
 from egretmill.host.handler import EntryHandler
 from egretmill.host.metrics import HostMetrics
+from egretmill.host.peer_copies import CopyClient, make_copy_application
 from egretmill.host.roster_keeper import ROSTER_TABLE, RosterKeeper
 from egretmill.host.settings import Endpoint, HostSettings
 from egretmill.host.state import HostState
@@ -93,7 +93,7 @@
     """Open listeners of the host."""
 
     entry: asyncio.Server
-    http_servers: list[HTTPServer]
+    http_servers: list[httpserver.HTTPServer]
 
     def close(self) -> None:
         """Close the entry listener."""
@@ -124,6 +124,10 @@
                 freshness=state.share.freshness,
             ),
         }
+        operator_watch = self.watches[Topic.CONFIGURATION]
+        operator_watch.keeps_rows = True
+        self.copies = CopyClient(state, operator_watch)
+        self.heartbeats.on_newer_configuration = self.copies.ask_if_behind
 
     async def run(self, signals: StopSignals) -> int:
         """Serve until the first signal, then shut down gracefully."""
@@ -172,12 +176,23 @@
             reuse_address=True,
         )
         http_servers = []
-        for endpoint, application in self.adapter.applications(self.state):
-            other = HTTPServer(application)
+        for endpoint, application in self.applications():
+            other = httpserver.HTTPServer(application)
             other.listen(endpoint.port, endpoint.address)
             http_servers.append(other)
         return Listeners(server, http_servers)
 
+    def applications(self) -> Sequence[tuple[Endpoint, web.Application]]:
+        """Return the endpoints other than the entry."""
+        settings = self.state.settings
+        copies = make_copy_application(
+            self.state, self.watches[Topic.CONFIGURATION]
+        )
+        return (
+            *self.adapter.applications(self.state),
+            (Endpoint(settings.address, settings.peer_port), copies),
+        )
+
     def trigger_read(self, topic: Topic) -> None:
         """Read the store now, because a peer has other data on a topic."""
         self.watches[topic].poll_now()
--- a/egretmill/host/roster_keeper.py
+++ b/egretmill/host/roster_keeper.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from egretmill import events
+from egretmill.fleet.freshness import STORE_SOURCE
 from egretmill.host.capacity import find_large
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
@@ -247,8 +248,11 @@
             return
         self.put_row(row)
 
-    def confirm_current(self, sent_at: float) -> None:
+    def confirm_current(
+        self, sent_at: float, source: str = STORE_SOURCE
+    ) -> None:
         """Apply the roster, which was current at a boot time."""
+        self.state.share.freshness.confirm(sent_at, source)
         before = self.state.share.members
         self.state.suspects = frozenset(
             name for name, row in self.rows.items() if row.entry.suspected
--- a/egretmill/host/settings.py
+++ b/egretmill/host/settings.py
@@ -64,7 +64,8 @@
     """Settings of one host process.
 
     :param regions: region of each failure domain.
-    :param peer_port: UDP port for heartbeats, the same on all hosts.
+    :param peer_port: port for heartbeats (UDP) and for reading copies (TCP),
+        the same on all hosts.
     :param capacity: resources that the machine gives the program.
     :param descriptors: files and sockets that the process may open.
     """
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -3,13 +3,13 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from egretmill import events
-from egretmill.fleet.freshness import Freshness, boot_time
+from egretmill.fleet.freshness import STORE_SOURCE, Freshness, boot_time
 from egretmill.logs import log_event
 from egretmill.tables.ports import (
     Changes,
@@ -42,8 +42,13 @@
         """Apply a changed or removed row."""
         raise NotImplementedError
 
-    def confirm_current(self, sent_at: float) -> None:
-        """Record that the copy was current at ``sent_at``, a boot time."""
+    def confirm_current(
+        self, sent_at: float, source: str = STORE_SOURCE
+    ) -> None:
+        """Record that the copy was current at ``sent_at``, a boot time.
+
+        :param source: the store, or the host that the copy is from.
+        """
         raise NotImplementedError
 
 
@@ -114,6 +119,9 @@
             timings = PollTimings.for_all_hosts(timings)
         self.timings = timings
         self.now = now
+        #: Whether the rows are kept as stored, for :meth:`snapshot`.
+        self.keeps_rows = False
+        self.rows: dict[str, StoredRow] = {}
         self.version: int | None = None
         self.highest_version = 0
         self.failures = 0
@@ -210,15 +218,50 @@
             return False
         self.record_recovery()
         self.log_rows(answer.ok_value, sent_at)
+        self.apply_rows(answer.ok_value)
+        self.listener.confirm_current(sent_at)
+        return True
+
+    def apply_rows(self, answer: Snapshot | Changes) -> None:
+        """Pass rows on to the listener and keep them."""
         match answer:
-            case Ok(Snapshot(rows)):
+            case Snapshot(rows):
+                self.rows.clear()
                 self.listener.replace_rows(rows)
-            case Ok(Changes(rows)):
+            case Changes(rows):
                 for row in rows:
                     self.listener.apply_change(row)
-        self.version = version
-        self.highest_version = version
-        self.listener.confirm_current(sent_at)
+        if self.keeps_rows:
+            self.keep(rows)
+        self.version = answer.version
+        self.highest_version = answer.version
+
+    def keep(self, rows: Iterable[StoredRow]) -> None:
+        """Keep changed rows; forget removed ones."""
+        for row in rows:
+            if row.removed:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the copy, ``None`` while there is none."""
+        if not self.keeps_rows or not self.highest_version:
+            return None
+        return Snapshot(tuple(self.rows.values()), self.highest_version)
+
+    def apply_copy(
+        self, snapshot: Snapshot, confirmed_at: float, source: str
+    ) -> bool:
+        """Replace the copy by that of another host if it is newer.
+
+        :param confirmed_at: boot time at which the other copy was current.
+        :param source: name of the other host.
+        """
+        if snapshot.version <= self.highest_version:
+            return False
+        self.apply_rows(snapshot)
+        self.listener.confirm_current(confirmed_at, source)
         return True
 
     def log_rows(self, answer: Snapshot | Changes, sent_at: float) -> None:
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -12,25 +12,27 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
-from standins.tables import TableServer, make_application
+from standins.tables import TableFaults, TableServer, make_application
 
 ROOT = pathlib.Path(__file__).parents[2]
 ADDRESS = '127.0.0.1'
 TIMEOUT_S = 20
 CALLERS = 16
 MAX_REQUESTS = 400
+#: Time for applying a version by the contract of the users, in seconds.
+TIME_TO_APPLY_S = 2.5
 PORT_NAMES = ('entry', 'readiness', 'directory', 'metrics', 'peers')
 SETTINGS = """
 [host]
-name = "h1"
-address = "127.0.0.1"
+name = "{name}"
+address = "{address}"
 failure_domain = "west-a"
 region = "west"
 room = 1
 [listen]
-entry = "127.0.0.1:{entry}"
-readiness = "127.0.0.1:{readiness}"
-directory = "127.0.0.1:{directory}"
+entry = "{address}:{entry}"
+readiness = "{address}:{readiness}"
+directory = "{address}:{directory}"
 metrics = {metrics}
 peers = {peers}
 [store]
@@ -70,17 +72,24 @@
 
     async def serve(self, reader, writer):
         """Serve one connection."""
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                identifier = find_header(head, b'egretmill-request-id')
-                self.request_ids.append(identifier)
-                await asyncio.sleep(self.delay_s)
-                writer.write(
-                    b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n'
-                    b'Egretmill-Response-Signature: s\r\n'
-                    b'Egretmill-Request-Id: %b\r\n\r\nyes' % identifier,
-                )
+                await self.answer_next(reader, writer)
+
+    async def answer_next(self, reader, writer):
+        """Read a request and answer it after the delay."""
+        head = await reader.readuntil(b'\r\n\r\n')
+        identifier = find_header(head, b'egretmill-request-id')
+        self.request_ids.append(identifier)
+        await asyncio.sleep(self.delay_s)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n'
+            b'Egretmill-Response-Signature: s\r\n'
+            b'Egretmill-Request-Id: %b\r\n\r\nyes' % identifier,
+        )
 
 
 def find_header(head, name):
@@ -95,7 +104,9 @@
 class Environment:
     """A store, an upstream and the process of one host."""
 
-    def __init__(self, path):
+    def __init__(self, path, name='h1', address=ADDRESS):
+        self.name = name
+        self.address = address
         self.path = path
         self.log = path.with_suffix('.log')
         self.store = TableServer()
@@ -118,18 +129,32 @@
         }
         for port_socket in sockets:
             port_socket[0].close()
-        settings = SETTINGS.format(store=store_port, **self.ports)
-        self.path.write_text(settings)
+        self.write_settings(store_port)
         self.store.put('op', 'config', configuration_row(1, ['k1']))
-        # With an entry of an earlier run, the host does not wait for a lease.
+        self.put_roster_entry(self)
+        address = upstream.sockets[0].getsockname()
+        self.store.put('servers', 'w1', upstream_row(address[1]))
+
+    def write_settings(self, store_port):
+        """Write the settings file."""
+        settings = SETTINGS.format(
+            name=self.name, address=self.address, store=store_port, **self.ports
+        )
+        self.path.write_text(settings)
+
+    def put_roster_entry(self, host):
+        """Put a host's entry of an earlier run into the store.
+
+        With it, the host does not wait for a lease.
+        """
         entry = {
-            'address': ADDRESS,
-            'port': self.ports['peers'],
+            'address': host.address,
+            'port': host.ports['peers'],
             'known_by_all': True,
         }
-        self.store.put('egretmill-roster', 'h1', json.dumps(entry).encode())
-        address = upstream.sockets[0].getsockname()
-        self.store.put('servers', 'w1', upstream_row(address[1]))
+        self.store.put(
+            'egretmill-roster', host.name, json.dumps(entry).encode()
+        )
 
     async def start_host(self):
         """Start the host process and wait until it is ready."""
@@ -165,7 +190,7 @@
     async def get(self, port, path, identifier=b'', key=b'k1'):
         """Send a request; return status, head and body."""
         reader, writer = await asyncio.open_connection(
-            ADDRESS,
+            self.address,
             self.ports[port],
         )
         writer.write(
@@ -235,6 +260,41 @@
     assert environment.upstream.request_ids == [b'id1', b'id3']
 
 
+@pytest.fixture
+async def peer(environment, tmp_path):
+    """Return a second host, whose store can hold what the first one lacks."""
+    started = Environment(tmp_path / 'peer.toml', 'h2', '127.0.0.2')
+    started.ports = environment.ports
+    listener, store_port = bind_unused_port()
+    http = HTTPServer(make_application(started.store))
+    http.add_socket(listener)
+    environment.put_roster_entry(started)
+    started.store.rows = dict(environment.store.rows)
+    started.store.version = environment.store.version
+    started.store.compacted_version = environment.store.version
+    started.write_settings(store_port)
+    try:
+        await started.start_host()
+        yield started
+    finally:
+        await started.stop_host()
+        http.stop()
+
+
+@pytest.mark.parametrize('fault', [{'silent': True}, {'status': 503}])
+async def test_host_without_the_store_gets_a_change_from_a_peer(
+    environment, peer, fault
+):
+    """Guards against an outdated host whose peers have the change."""
+    assert (await environment.get('entry', b'/a/1'))[0] == 200
+    environment.store.faults = TableFaults(**fault)
+    peer.store.put('op', 'config', configuration_row(2, ['k2']))
+    async with asyncio.timeout(TIME_TO_APPLY_S):
+        while (await environment.get('entry', b'/a/2', key=b'k2'))[0] != 200:
+            await asyncio.sleep(0.05)
+    assert (await environment.get('entry', b'/a/3'))[0] == 401
+
+
 async def test_deregistered_upstream_gets_no_requests(environment):
     """Guards against requests to an upstream that is no longer registered."""
     environment.store.remove('servers', 'w1')
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -39,7 +39,7 @@
         """Record a changed row."""
         self.changed_rows.append(row)
 
-    def confirm_current(self, sent_at):
+    def confirm_current(self, sent_at, source='store'):
         """Record the time of a confirmation."""
         self.confirmation_times.append(sent_at)
 
@@ -302,3 +302,33 @@
         async with asyncio.timeout(0.2):
             await watch.run()
     assert store.calls == ['read']
+
+
+async def test_copy_of_another_host_is_followed_by_its_changes():
+    """Guards against changes that are lost or come twice after a copy."""
+    store = ScriptedStore(
+        Ok(Snapshot((ROW,), 7)),
+        Ok(Changes((StoredRow('b', b'2', 14),), 14)),
+        Ok(Changes((StoredRow('a', b'', 15, removed=True),), 15)),
+    )
+    watch = TableWatch(store, 't', RecordingListener(), PollTiming(0))
+    watch.keeps_rows = True
+    watch.apply_answer(await watch.fetch(), 0)
+    copy = Snapshot((ROW, StoredRow('c', b'3', 11)), 12)
+    assert watch.apply_copy(copy, 0, 'h2')
+    watch.apply_answer(await watch.fetch(), 0)
+    watch.apply_answer(await watch.fetch(), 0)
+    assert store.calls == ['read', 'after 12', 'after 14']
+    assert {row.key for row in watch.snapshot().rows} == {'b', 'c'}
+
+
+async def test_answer_from_before_a_copy_is_not_applied():
+    """Guards against rows that go back to an older state after a copy."""
+    store = ScriptedStore(Ok(Snapshot((), 7)), Ok(Changes((ROW,), 8)))
+    listener = RecordingListener()
+    watch = TableWatch(store, 't', listener, PollTiming(0))
+    watch.apply_answer(await watch.fetch(), 0)
+    answer = await watch.fetch()
+    watch.apply_copy(Snapshot((), 12), 0, 'h2')
+    assert not watch.apply_answer(answer, 0)
+    assert (listener.changed_rows, watch.version) == ([], 12)
