Take the request of a caller that has connected just before a stop

What callers saw: a connection that is closed without an answer when a host in a planned stop ends accepting, while their request was on its way.

Cause: every connection without a request in flight was closed at that moment, also those that had just been opened or were in the middle of a head. Class of fault: idle is taken for unused.

--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -30,6 +30,9 @@
 MAX_PIPELINED_REQUESTS = 64
 #: Shortest time between two timeout checks of a connection, in seconds.
 MIN_CHECK_INTERVAL_S = 1.0
+#: Time for the first request of a caller that has connected just before a
+#: stop, in seconds: several round trips between regions.
+FIRST_REQUEST_WAIT_S = 0.25
 HTTP_REQUEST_TIMEOUT = 408
 HTTP_INTERNAL_ERROR = 500
 HTTP_CONTENT_TOO_LARGE = 413
@@ -164,8 +167,10 @@
         self.queue: collections.deque[PendingAnswer] = collections.deque()
         self.receiving: PendingAnswer | None = None
         self.closing = False
-        #: No further request is taken; those taken before are answered.
-        self.draining = False
+        #: Requests that are still taken, ``None`` for any number.
+        self.remaining_requests: int | None = None
+        #: No request has been taken yet.
+        self.is_new = True
         #: The last answer is sent, and the rest of its request is still being
         #: read and discarded before the close.
         self.lingering = False
@@ -221,8 +226,13 @@
 
     def head_received(self, head: RequestHead, *, keep_alive: bool) -> None:
         """Start to serve the request."""
-        if self.closing or self.draining or self.transport is None:
+        if self.closing or self.transport is None:
             return
+        if self.remaining_requests is not None:
+            if not self.remaining_requests:
+                return
+            self.remaining_requests -= 1
+        self.is_new = False
         head.received_at = self.loop.time()
         pending = PendingAnswer(self, head, Body(self.resume_reading))
         pending.keep_alive = keep_alive
@@ -321,10 +331,22 @@
 def drain(connection: ServerConnection) -> None:
     """Close a connection once the requests that it has taken are answered.
 
-    Requests behind the last answer count as unprocessed for the caller.
+    A caller that has just connected, or that is sending a head, may still
+    send this request. Those behind the last answer count as unprocessed.
     """
-    connection.draining = True
-    if not connection.is_serving:
+    if connection.is_serving:
+        connection.remaining_requests = 0
+    elif connection.is_new or connection.reader.reading_head:
+        connection.remaining_requests = 1
+        connection.loop.call_later(
+            FIRST_REQUEST_WAIT_S, _close_unused, connection
+        )
+    else:
+        connection.shut_down()
+
+
+def _close_unused(connection: ServerConnection) -> None:
+    if connection.remaining_requests and not connection.reader.reading_head:
         connection.shut_down()
 
 
@@ -338,7 +360,9 @@
     """
     if connection.queue or connection.receiving not in {None, pending}:
         return False
-    if not pending.keep_alive or connection.closing or connection.draining:
+    if not pending.keep_alive or connection.closing:
+        return True
+    if connection.remaining_requests == 0:
         return True
     return connection.handler.leaving and pending.body.complete
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,6 +5,7 @@
 import pytest
 
 from egretmill.http1 import ConnectionLimits, drain
+from egretmill.http1.server import FIRST_REQUEST_WAIT_S
 from tests.http1.harness import (
     Recorder,
     ok_response,
@@ -107,6 +108,37 @@
         assert len(recorder.requests) == 1
 
 
+@pytest.mark.parametrize('sent_before', [b'', GET_A[:9]])
+async def test_caller_that_has_just_connected_may_send_one_request(
+    sent_before,
+):
+    """Guards against a stop that closes a connection under a new request."""
+    recorder = Recorder(leaving=True)
+    async with serve_connection(recorder) as (reader, writer):
+        writer.write(sent_before)
+        await wait_until(lambda: recorder.connections)
+        await asyncio.sleep(0.05)
+        drain(recorder.connections[0])
+        await asyncio.sleep(0.05)
+        writer.write(GET_A[len(sent_before) :] + GET_B)
+        await wait_until(lambda: recorder.requests)
+        recorder.requests[0].answer(ok_response())
+        head, _ = await read_response(reader)
+        assert b'Connection: close' in head
+        assert not await reader.read()
+        assert len(recorder.requests) == 1
+
+
+async def test_connection_without_a_request_is_closed_in_a_stop():
+    """Guards against idle connections that prolong a stop."""
+    recorder = Recorder(leaving=True)
+    async with serve_connection(recorder) as (reader, _):
+        await wait_until(lambda: recorder.connections)
+        drain(recorder.connections[0])
+        async with asyncio.timeout(2 * FIRST_REQUEST_WAIT_S):
+            assert not await reader.read()
+
+
 @pytest.mark.parametrize(
     ('request_bytes', 'status'),
     [
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -113,6 +113,7 @@
         self.upstream = Upstream()
         self.ports = {}
         self.process = None
+        self.pause_s = 0
 
     async def start_dependencies(self, stack):
         """Start the store and the upstream, and write the settings file."""
@@ -188,11 +189,12 @@
         return response[0]
 
     async def get(self, port, path, identifier=b'', key=b'k1'):
-        """Send a request; return status, head and body."""
+        """Connect, pause, send a request; return status, head and body."""
         reader, writer = await asyncio.open_connection(
             self.address,
             self.ports[port],
         )
+        await asyncio.sleep(self.pause_s)
         writer.write(
             b'GET %b HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %b\r\n'
             b'Egretmill-Request-Id: %b\r\n\r\n' % (path, key, identifier),
@@ -343,12 +345,16 @@
     assert environment.upstream.request_ids == [b'id1']
 
 
-async def test_planned_stop_under_load_cuts_no_accepted_request(environment):
+@pytest.mark.parametrize('pause_s', [0, 0.02])
+async def test_planned_stop_under_load_cuts_no_accepted_request(
+    environment, pause_s
+):
     """Guards against requests that end without an answer during a stop.
 
     Callers keep sending on new connections until the host refuses them.
     """
     environment.upstream.delay_s = 0.05
+    environment.pause_s = pause_s
     answered = []
     broken = []
 
