--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,7 +10,7 @@
 
 from soak.callers import Caller
 from soak.hosts import HostProcess, HostSpec
-from soak.links import DatagramLink, Direction, LinkFaults, TcpLink
+from soak.links import HostLink, Direction, LinkFaults, TcpLink
 from soak.operator import ROSTER_TABLE, ROUTES, Operator, StoreView
 from soak.plan import Fault, FaultKind
 from soak.record import Record
@@ -74,7 +74,7 @@
         self.hosts: dict[str, HostProcess] = {}
         self.entry_links: dict[str, TcpLink] = {}
         self.store_links: dict[str, TcpLink] = {}
-        self.peer_links: dict[frozenset[str], DatagramLink] = {}
+        self.peer_links: dict[frozenset[str], HostLink] = {}
         self.upstreams: dict[str, SoakUpstream] = {}
         self.upstream_links: dict[str, TcpLink] = {}
         self.callers: list[Caller] = []
@@ -110,9 +110,9 @@
             self.stack.callback(task.cancel)
 
     async def open_peer_links(self) -> None:
-        """Open a datagram link between each two hosts."""
+        """Open a link between each two hosts."""
         for names in itertools.combinations(self.hosts, 2):
-            link = DatagramLink(
+            link = HostLink(
                 {name: self.hosts[name].endpoint('peers') for name in names},
             )
             await link.open()
@@ -346,9 +346,9 @@
         link = self.peer_links[host_pairs[fault.selector % len(host_pairs)]]
         names = sorted(link.hosts)
         one_way = fault.kind is FaultKind.PEERS_CUT_ONE_WAY
-        link.blocked = frozenset(names[:1] if one_way else names)
+        link.block(frozenset(names[:1] if one_way else names))
         await asyncio.sleep(fault.duration_s)
-        link.blocked = frozenset()
+        link.block(frozenset())
 
     async def fail_upstream(self, fault: Fault) -> None:
         """Crash, replace, drain or disconnect an upstream."""
--- a/soak/links.py
+++ b/soak/links.py
@@ -6,7 +6,7 @@
 import enum
 from typing import Any
 
-__all__ = ('DatagramLink', 'Direction', 'LinkFaults', 'TcpLink')
+__all__ = ('HostLink', 'Direction', 'LinkFaults', 'TcpLink')
 
 CHUNK_BYTES = 65536
 
@@ -142,9 +142,9 @@
 
 
 class LinkEndpoint(asyncio.DatagramProtocol):
-    """Endpoint of a datagram link at which the other host finds one host."""
+    """Endpoint for datagrams at which the other host finds one host."""
 
-    def __init__(self, link: 'DatagramLink', host: str) -> None:
+    def __init__(self, link: 'HostLink', host: str) -> None:
         """Receive what the other host sends to a host."""
         self.link = link
         self.host = host
@@ -159,26 +159,30 @@
         self.link.forward(self.host, data)
 
 
-class DatagramLink:
-    """Datagram proxy between two hosts, with an endpoint for each.
+class HostLink:
+    """Proxy between two hosts, with an endpoint for each.
 
-    Datagrams to the hosts in ``blocked`` are dropped.
+    Both datagrams and connections pass; what is sent to the hosts in
+    ``blocked`` is dropped.
     """
 
     def __init__(self, hosts: dict[str, tuple[str, int]]) -> None:
         """Connect two hosts with their real addresses."""
         self.hosts = hosts
         self.endpoints: dict[str, LinkEndpoint] = {}
+        self.connections: dict[str, TcpLink] = {}
         self.blocked: frozenset[str] = frozenset()
 
     async def open(self) -> None:
         """Open both endpoints."""
         loop = asyncio.get_running_loop()
-        for name in self.hosts:
+        for name, address in self.hosts.items():
+            self.connections[name] = TcpLink(address)
+            await self.connections[name].open()
             endpoint = LinkEndpoint(self, name)
             await loop.create_datagram_endpoint(
                 lambda protocol=endpoint: protocol,
-                local_addr=('127.0.0.1', 0),
+                local_addr=self.connections[name].address,
             )
             self.endpoints[name] = endpoint
 
@@ -186,6 +190,17 @@
         """Return the address at which the other host reaches a host."""
         return self.endpoints[host].transport.get_extra_info('sockname')
 
+    def block(self, receivers: frozenset[str]) -> None:
+        """Drop what is sent to some of the hosts, or to none any more."""
+        self.blocked = receivers
+        for name, link in self.connections.items():
+            directions = set()
+            if name in receivers:
+                directions.add(Direction.TO_TARGET)
+            if receivers - {name}:
+                directions.add(Direction.TO_CLIENT)
+            link.faults = LinkFaults(blocked=frozenset(directions))
+
     def forward(self, receiver: str, content: bytes) -> None:
         """Forward a datagram unless those to the receiver are dropped."""
         if receiver in self.blocked:
@@ -195,6 +210,8 @@
         endpoint.transport.sendto(content, self.hosts[receiver])
 
     def close(self) -> None:
-        """Close both endpoints."""
+        """Close both endpoints and all connections."""
         for endpoint in self.endpoints.values():
             endpoint.transport.close()
+        for link in self.connections.values():
+            link.close()
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -8,7 +8,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
-from soak.links import DatagramLink
+from soak.links import HostLink
 from soak.record import Key, Record
 from soak.upstreams import SLOTS, SoakUpstream
 from standins.tables import TableServer, make_application
@@ -55,7 +55,7 @@
         self,
         server: TableServer,
         host: str,
-        peer_links: dict[frozenset[str], DatagramLink],
+        peer_links: dict[frozenset[str], HostLink],
     ) -> None:
         """Serve on a free port."""
         self.host = host
