--- a/egretmill/host/copy_log.py
+++ b/egretmill/host/copy_log.py
@@ -6,6 +6,7 @@
 from egretmill.fleet.freshness import Freshness
 from egretmill.fleet.view import Topic
 from egretmill.host.state import HostState
+from egretmill.host.store_read_policy import topic_reports
 from egretmill.logs import log_event
 
 __all__ = ('CopyLog',)
@@ -32,11 +33,23 @@
             version=self.state.view.version,
             on_duty=self.state.is_designated_reader(),
             **{
-                topic.value: _describe(self.state.freshness(topic), now)
+                topic.value: {
+                    **_describe(self.state.freshness(topic), now),
+                    'differing_peers': self.count_differing(topic, now),
+                }
                 for topic in Topic
             },
         )
 
+    def count_differing(self, topic: Topic, now: float) -> int:
+        """Return how many live peers last stated another digest."""
+        own_digest = self.state.digest(topic)
+        return sum(
+            topic_reports(peer.heartbeat)[topic].digest != own_digest
+            for peer in self.state.peers.live_peers(now)
+            if peer.heartbeat is not None
+        )
+
 
 def _describe(freshness: Freshness, now: float) -> dict[str, object]:
     """Return the age of a copy, and the confirmation that it counts from."""
--- a/egretmill/host/state_updater.py
+++ b/egretmill/host/state_updater.py
@@ -98,6 +98,7 @@
             domain=upstream.failure_domain,
             state=upstream.state.value,
             incarnation=upstream.incarnation,
+            beat=upstream.beat,
             cold_s=upstream.cold_s,
             source=source,
         )
--- a/tests/host/test_copy_log.py
+++ b/tests/host/test_copy_log.py
@@ -6,7 +6,7 @@
 
 from egretmill.fleet.freshness import Freshness
 from egretmill.host.copy_log import CopyLog
-from tests.host.fakes import make_state
+from tests.host.fakes import make_state, upstream
 from tests.host.test_heartbeats import make_service, matching_heartbeat
 
 NOW = 1000.0
@@ -41,6 +41,18 @@
     assert len(logged_fields(caplog, 'copies_confirmed')) == 3
 
 
+def test_log_counts_the_peers_whose_data_differs(caplog):
+    """Guards against hosts that differ for good without a trace in the logs."""
+    caplog.set_level(logging.INFO, 'egretmill')
+    service, _ = make_service()
+    service.handle_heartbeat(matching_heartbeat(service), ('10.0.0.2', 7000))
+    service.state.view.put_upstream(upstream('u9'))
+    service.copy_log.log_if_due(service.state.now())
+    logged = logged_fields(caplog, 'copies_confirmed')[0]
+    assert logged['upstreams']['differing_peers'] == 1
+    assert logged['roster']['differing_peers'] == 0
+
+
 def test_older_confirmation_does_not_replace_its_source():
     """Guards against a logged source that did not confirm the copy."""
     freshness = Freshness()
