--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -8,7 +8,6 @@
 
 from egretmill.fleet.freshness import boot_time
 from egretmill.fleet.view import Topic
-from egretmill.host import state_updater
 from egretmill.host.state import HostState
 from egretmill.host.state_updater import StateUpdater
 from egretmill.peers import decode_datagram, encode_datagram
@@ -112,7 +111,7 @@
 
     Messages of another reader arrive while this one waits for the entry.
     """
-    monkeypatch.setattr(state_updater, 'REREGISTRATION_S', 0.05)
+    monkeypatch.setattr('egretmill.host.state_updater.REREGISTRATION_S', 0.05)
     reader, other_reader, follower = Host(), Host(), Host()
     for host in (reader, other_reader, follower):
         host.read_whole(52, put(3))
