Order records of upstreams by the store version and report of each one

Cause: a designated reader that was without the store reads everything it missed in one answer. It applied the first form of an entry that had been removed since, deferred the removal, and sent the first form to its peers under the version of the answer. Peers that had read the removal at a lower version took it for news, since a removal remembered the incarnation only. Besides, a record that the list of upstreams ignored still replaced the placement's one and was sent on.

Change: each record and each removal has the store version of its own row and the number of the report; a receiver applies what is newer than its own read and than what it knows of the upstream. Of several changes in one answer the last one counts. A leaving incarnation does not become ready again. What is ignored reaches neither the placement nor the peers, and is logged.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -127,6 +127,12 @@
         logging.INFO,
         'An upstream was added or removed, or restarted or changed state.',
     )
+    UPSTREAM_RECORD_IGNORED = Event(
+        221,
+        'upstream_record_ignored',
+        logging.INFO,
+        'A record of an upstream is older than what is known of it.',
+    )
     ROW_MALFORMED = Event(
         210,
         'row_malformed',
--- a/egretmill/fleet/upstreams.py
+++ b/egretmill/fleet/upstreams.py
@@ -6,7 +6,10 @@
 
 import xxhash
 
-__all__ = ('Upstream', 'UpstreamList', 'UpstreamState')
+__all__ = ('Removal', 'Upstream', 'UpstreamList', 'UpstreamState')
+
+#: Removals to remember. Late reports of older ones no longer arrive.
+MAX_REMOVALS = 4096
 
 
 class UpstreamState(enum.StrEnum):
@@ -25,6 +28,7 @@
     :param incarnation: differs after each start, also under the same name.
     :param beat: sequence number of the last report of this incarnation.
     :param cold_s: seconds until it can serve its full load.
+    :param version: store version of this record, 0 if it is not known.
     """
 
     name: str
@@ -38,6 +42,7 @@
     state: UpstreamState = UpstreamState.READY
     beat: int = 0
     cold_s: float = 0
+    version: int = 0
 
     @property
     def is_leaving(self) -> bool:
@@ -50,6 +55,36 @@
         return (self.name, self.incarnation, self.address, self.port)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removal:
+    """Last report of an upstream that is no longer registered.
+
+    :param version: store version as of which it was not registered, 0 if it
+        is not known.
+    """
+
+    incarnation: int
+    beat: int
+    version: int = 0
+
+    @classmethod
+    def of(cls, upstream: Upstream, version: int) -> 'Removal':
+        """Return the removal of an upstream as of a store version."""
+        return cls(upstream.incarnation, upstream.beat, version)
+
+    def precedes(self, other: 'Upstream | Removal') -> bool:
+        """Return whether a record or another removal is newer.
+
+        Entries that lapsed while the store was away return under the same
+        incarnation.
+        """
+        if other.incarnation != self.incarnation:
+            return other.incarnation > self.incarnation
+        if other.version and self.version:
+            return other.version > self.version
+        return other.beat > self.beat
+
+
 class UpstreamList:
     """All registered upstreams, by name and by service.
 
@@ -61,8 +96,8 @@
         self.by_name: dict[str, Upstream] = {}
         self.by_service: dict[str, tuple[Upstream, ...]] = {}
         self.generation = 0
-        #: Tombstones: last incarnation of names that are no longer registered.
-        self.tombstones: dict[str, int] = {}
+        #: Removed upstreams by name, those removed first come first.
+        self.removals: dict[str, Removal] = {}
         self.cached_digest: int | None = None
 
     @property
@@ -77,16 +112,23 @@
             self.cached_digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
         return self.cached_digest
 
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether a record is as new as what is known."""
+        current = self.by_name.get(upstream.name)
+        if current is not None:
+            return not _is_outdated(upstream, current)
+        removal = self.removals.get(upstream.name)
+        return removal is None or removal.precedes(upstream)
+
     def put(self, upstream: Upstream) -> Upstream | None:
         """Add or replace an upstream; return the previous record.
 
-        A report that arrives after a newer one is ignored.
+        A record that is not accepted is ignored.
         """
         current = self.by_name.get(upstream.name)
-        if current is not None and _is_outdated(upstream, current):
+        if not self.accepts(upstream):
             return current
-        if upstream.incarnation < self.tombstones.get(upstream.name, 0):
-            return None
+        self.removals.pop(upstream.name, None)
         self.by_name[upstream.name] = upstream
         if current is None or _fingerprint(current) != _fingerprint(upstream):
             self.cached_digest = None
@@ -98,15 +140,27 @@
             )
         return current
 
-    def remove(self, name: str) -> Upstream | None:
-        """Remove an upstream that is no longer registered."""
+    def remove(self, name: str, version: int = 0) -> Upstream | None:
+        """Remove an upstream that is no longer registered.
+
+        :param version: store version as of which it is not.
+        """
         current = self.by_name.pop(name, None)
         if current is not None:
             self.cached_digest = None
-            self.tombstones[name] = current.incarnation
+            self.record_removal(name, Removal.of(current, version))
             self._rebuild_candidates({current.service})
         return current
 
+    def record_removal(self, name: str, removal: Removal) -> None:
+        """Remember the newest removal of an upstream."""
+        known = self.removals.pop(name, None)
+        if known is not None and removal.precedes(known):
+            removal = known
+        self.removals[name] = removal
+        if len(self.removals) > MAX_REMOVALS:
+            self.removals.pop(next(iter(self.removals)))
+
     def retain(self, names: Iterable[str]) -> Iterator[Upstream]:
         """Remove and yield the upstreams whose names are not listed."""
         for name in set(self.by_name).difference(names):
@@ -162,4 +216,8 @@
 def _is_outdated(upstream: Upstream, current: Upstream) -> bool:
     if upstream.incarnation != current.incarnation:
         return upstream.incarnation < current.incarnation
-    return upstream.beat < current.beat
+    if current.is_leaving and not upstream.is_leaving:
+        return True
+    if upstream.beat != current.beat:
+        return upstream.beat < current.beat
+    return upstream.version < current.version
--- a/egretmill/fleet/view.py
+++ b/egretmill/fleet/view.py
@@ -73,9 +73,11 @@
         return changed
 
     def put_upstream(self, upstream: Upstream) -> Upstream | None:
-        """Store the record of an upstream; return the previous one."""
+        """Store a record that is accepted; return the previous one."""
+        is_accepted = self.upstreams.accepts(upstream)
         previous = self.upstreams.put(upstream)
-        self.on_upstream(upstream, previous)
+        if is_accepted:
+            self.on_upstream(upstream, previous)
         return previous
 
     def configuration_age_s(self) -> float:
--- a/egretmill/host/roster_keeper.py
+++ b/egretmill/host/roster_keeper.py
@@ -15,7 +15,9 @@
 from egretmill.shares.loans import LOAN_S
 from egretmill.shares.roster import ROSTER_LEASE_S
 from egretmill.tables.ports import (
+    Changes,
     RowKey,
+    Snapshot,
     StoredRow,
     StoreFailure,
     TableStore,
@@ -78,7 +80,7 @@
         while True:
             read = await self.store.read(ROSTER_TABLE)
             if isinstance(read, Ok):
-                self.replace_rows(read.ok_value.rows)
+                self.replace_rows(read.ok_value)
                 if await self.write_own_entry():
                     return
             await asyncio.sleep(JOIN_RETRY_S)
@@ -232,8 +234,9 @@
         else:
             log_event(events.CATALOGUE.ROSTER_REMOVED, peer=name)
 
-    def replace_rows(self, rows: tuple[StoredRow, ...]) -> None:
+    def replace_rows(self, snapshot: Snapshot) -> None:
         """Replace the roster."""
+        rows = snapshot.rows
         self.row_versions = {row.key: row.version for row in rows}
         present = {row.key for row in rows}
         for name in self.rows.keys() - present:
@@ -241,12 +244,13 @@
         for row in rows:
             self.put_row(row)
 
-    def apply_change(self, row: StoredRow) -> None:
-        """Apply a changed or removed entry."""
-        if row.removed:
-            self.rows.pop(row.key, None)
-            return
-        self.put_row(row)
+    def apply_changes(self, changes: Changes) -> None:
+        """Apply changed and removed entries."""
+        for row in changes.rows:
+            if row.removed:
+                self.rows.pop(row.key, None)
+            else:
+                self.put_row(row)
 
     def confirm_current(
         self, sent_at: float, source: str = STORE_SOURCE
--- a/egretmill/host/state_updater.py
+++ b/egretmill/host/state_updater.py
@@ -6,11 +6,11 @@
 from egretmill import events
 from egretmill.fleet.configuration import FleetConfiguration
 from egretmill.fleet.freshness import STORE_SOURCE
-from egretmill.fleet.upstreams import Upstream
+from egretmill.fleet.upstreams import Removal, Upstream
 from egretmill.host.upstream_changes import ChangeBuffer
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
-from egretmill.peers.datagrams import UpstreamChanges
+from egretmill.peers.datagrams import RemovedUpstream, UpstreamChanges
 
 __all__ = ('StateUpdater',)
 
@@ -77,10 +77,21 @@
     def put_upstream(
         self, upstream: Upstream, source: str = STORE_SOURCE
     ) -> None:
-        """Apply the record of an upstream.
+        """Apply the record of an upstream, unless it is outdated.
 
         :param source: the store, or the host that sent the record.
         """
+        if not self.state.view.upstreams.accepts(upstream):
+            log_event(
+                events.CATALOGUE.UPSTREAM_RECORD_IGNORED,
+                upstream=upstream.name,
+                state=upstream.state.value,
+                incarnation=upstream.incarnation,
+                beat=upstream.beat,
+                version=upstream.version,
+                source=source,
+            )
+            return
         timer = self.removal_timers.pop(upstream.name, None)
         if timer is not None:
             timer.cancel()
@@ -99,45 +110,68 @@
             state=upstream.state.value,
             incarnation=upstream.incarnation,
             beat=upstream.beat,
+            version=upstream.version,
             cold_s=upstream.cold_s,
             source=source,
         )
 
-    def handle_missing_upstream(self, name: str, returned_at: float) -> None:
+    def handle_missing_upstream(
+        self, name: str, version: int, returned_at: float
+    ) -> None:
         """Remove an upstream whose entry is missing.
 
+        :param version: store version as of which it is.
         :param returned_at: when the store was back after an outage; upstreams
             whose entries lapsed meanwhile get time to register again.
         """
         left_s = returned_at + REREGISTRATION_S - self.state.now()
         if left_s <= 0:
-            self.remove_upstream(name)
+            self.remove_upstream(name, version)
         elif name not in self.removal_timers:
             loop = asyncio.get_running_loop()
             self.removal_timers[name] = loop.call_later(
-                left_s, self.remove_upstream, name
+                left_s, self.remove_upstream, name, version
             )
 
     def handle_missing_upstreams(
         self,
         present: frozenset[str],
+        version: int,
         returned_at: float,
     ) -> None:
         """Remove the upstreams that a full read of the table lacks."""
         current = self.state.view.upstreams.by_name
         for name in tuple(current.keys() - present):
-            self.handle_missing_upstream(name, returned_at)
+            self.handle_missing_upstream(name, version, returned_at)
+
+    def record_lapsed_upstream(self, upstream: Upstream, version: int) -> None:
+        """Record an upstream that was removed before this host knew of it.
+
+        :param version: store version of the removal.
+        """
+        upstreams = self.state.view.upstreams
+        if upstream.name not in upstreams.by_name and upstreams.accepts(
+            upstream
+        ):
+            upstreams.record_removal(
+                upstream.name, Removal.of(upstream, version)
+            )
+
+    def remove_upstream(
+        self, name: str, version: int, source: str = STORE_SOURCE
+    ) -> None:
+        """Remove an upstream.
 
-    def remove_upstream(self, name: str, source: str = STORE_SOURCE) -> None:
-        """Remove an upstream."""
+        :param version: store version as of which it is not registered.
+        """
         timer = self.removal_timers.pop(name, None)
         if timer is not None:
             timer.cancel()
-        dropped = self.state.view.upstreams.remove(name)
+        dropped = self.state.view.upstreams.remove(name, version)
         if dropped is None:
             return
         self.state.remove_upstream(dropped)
-        self.outgoing_changes.add_removed(dropped)
+        self.outgoing_changes.add_removed(dropped, version)
         log_event(
             events.CATALOGUE.UPSTREAM_CHANGED,
             upstream=name,
@@ -145,6 +179,8 @@
             domain=dropped.failure_domain,
             state='gone',
             incarnation=dropped.incarnation,
+            beat=dropped.beat,
+            version=version,
             source=source,
         )
 
@@ -152,17 +188,22 @@
         """Apply changes from a designated reader, unless they are outdated."""
         if not self.outgoing_changes.is_newer(changes):
             return
-        for upstream in changes.changed:
+        is_newer = self.outgoing_changes.is_newer_record
+        for upstream in filter(is_newer, changes.changed):
             self.put_upstream(upstream, changes.host)
-        for removed in changes.gone:
-            current = self.state.view.upstreams.by_name.get(removed.name)
-            if (
-                current is not None
-                and current.incarnation <= removed.incarnation
-            ):
-                self.remove_upstream(removed.name, changes.host)
+        for removed in filter(is_newer, changes.gone):
+            self.apply_removal(removed, changes.host)
         self.outgoing_changes.clear()
 
+    def apply_removal(self, removed: RemovedUpstream, source: str) -> None:
+        """Apply a removal that a peer has sent, unless it is outdated."""
+        upstreams = self.state.view.upstreams
+        current = upstreams.by_name.get(removed.name)
+        if current is None:
+            upstreams.record_removal(removed.name, removed.removal)
+        elif not removed.removal.precedes(current):
+            self.remove_upstream(removed.name, removed.version, source)
+
     def record_malformed_row(self, table: str, key: str, detail: str) -> None:
         """Log and count a row that could not be decoded."""
         self.state.metrics.malformed.labels(table).inc()
--- a/egretmill/host/upstream_changes.py
+++ b/egretmill/host/upstream_changes.py
@@ -39,11 +39,14 @@
         self.removed.pop(upstream.name, None)
         self.changed[upstream.name] = upstream
 
-    def add_removed(self, upstream: Upstream) -> None:
-        """Add an upstream that is no longer registered."""
+    def add_removed(self, upstream: Upstream, version: int) -> None:
+        """Add an upstream that is no longer registered.
+
+        :param version: store version as of which it is not.
+        """
         self.changed.pop(upstream.name, None)
         self.removed[upstream.name] = RemovedUpstream(
-            upstream.name, upstream.incarnation
+            upstream.name, upstream.incarnation, version, upstream.beat
         )
 
     def clear(self) -> None:
@@ -68,3 +71,10 @@
     def is_newer(self, changes: UpstreamChanges) -> bool:
         """Return whether changes are newer than what was read here."""
         return changes.version > self.version()
+
+    def is_newer_record(self, record: Upstream | RemovedUpstream) -> bool:
+        """Return whether a record is newer than what was read here.
+
+        A message after an outage of its sender holds older records as well.
+        """
+        return not record.version or record.version > self.version()
--- a/egretmill/peers/datagrams.py
+++ b/egretmill/peers/datagrams.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 from egretmill.errors import ErrorKind, Failure
-from egretmill.fleet.upstreams import Upstream
+from egretmill.fleet.upstreams import Removal, Upstream
 
 __all__ = (
     'Heartbeat',
@@ -100,17 +100,29 @@
 
 
 class RemovedUpstream(msgspec.Struct, frozen=True, array_like=True):
-    """An upstream that is no longer registered."""
+    """An upstream that is no longer registered.
+
+    :param version: store version as of which it is not.
+    :param beat: sequence number of its last report.
+    """
 
     name: str
     incarnation: int
+    version: int = 0
+    beat: int = 0
+
+    @property
+    def removal(self) -> Removal:
+        """Return what a list of upstreams keeps of it."""
+        return Removal(self.incarnation, self.beat, self.version)
 
 
 class UpstreamChanges(msgspec.Struct, frozen=True, array_like=True, tag='news'):
     """Changes of the upstreams in the store, sent by a designated reader.
 
     :param version: store version as of which the records hold; a receiver
-        that has read this version or a newer one ignores the message.
+        that has read this version or a newer one ignores the message. Each
+        record has a version of its own, which may be much older.
     """
 
     host: str
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -34,12 +34,15 @@
 class TableListener(Protocol):
     """Receives the rows of a table."""
 
-    def replace_rows(self, rows: tuple[StoredRow, ...]) -> None:
+    def replace_rows(self, snapshot: Snapshot) -> None:
         """Replace the whole table; rows that are missing were removed."""
         raise NotImplementedError
 
-    def apply_change(self, row: StoredRow) -> None:
-        """Apply a changed or removed row."""
+    def apply_changes(self, changes: Changes) -> None:
+        """Apply changed and removed rows, in order.
+
+        A row that has changed several times is listed with each change.
+        """
         raise NotImplementedError
 
     def confirm_current(
@@ -225,14 +228,13 @@
     def apply_rows(self, answer: Snapshot | Changes) -> None:
         """Pass rows on to the listener and keep them."""
         match answer:
-            case Snapshot(rows):
+            case Snapshot():
                 self.rows.clear()
-                self.listener.replace_rows(rows)
-            case Changes(rows):
-                for row in rows:
-                    self.listener.apply_change(row)
+                self.listener.replace_rows(answer)
+            case Changes():
+                self.listener.apply_changes(answer)
         if self.keeps_rows:
-            self.keep(rows)
+            self.keep(answer.rows)
         self.version = answer.version
         self.highest_version = answer.version
 
--- a/tests/host/test_roster_keeper.py
+++ b/tests/host/test_roster_keeper.py
@@ -87,7 +87,7 @@
         async def step():
             await action()
             read = await self.store.read(ROSTER_TABLE)
-            return read.ok_value.rows
+            return read.ok_value
 
         self.keeper.replace_rows(asyncio.run(step()))
         self.keeper.confirm_current(self.time)
--- a/tests/host/test_upstream_changes.py
+++ b/tests/host/test_upstream_changes.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+from hypothesis import given, strategies
 
 from egretmill.fleet.view import Topic
 from egretmill.fleet.upstreams import UpstreamState
@@ -12,6 +13,7 @@
 from egretmill.host.state_updater import StateUpdater
 from egretmill.peers import (
     Heartbeat,
+    RemovedUpstream,
     UpstreamChanges,
     decode_datagram,
     encode_datagram,
@@ -54,7 +56,7 @@
     reader = make_updater()
     reader.put_upstream(upstream('u1'))
     reader.put_upstream(upstream('u2'))
-    reader.remove_upstream('u2')
+    reader.remove_upstream('u2', VERSION)
     reader.put_upstream(upstream('u1', beat=3, state=UpstreamState.LEAVING))
     follower = make_updater(upstream('u1'), upstream('u2'), version=VERSION - 1)
     for changes in reader.outgoing_changes.drain():
@@ -77,11 +79,61 @@
     assert names(follower) == ['u1']
 
 
+#: Course of one upstream in the store: reports, a lapse, a return, a restart.
+COURSE = (
+    upstream('u1', beat=1, version=10),
+    upstream('u1', beat=2, version=12, cold_s=1),
+    RemovedUpstream('u1', 1, 14, 2),
+    upstream('u1', beat=6, version=15),
+    upstream('u1', beat=7, version=16, state=UpstreamState.LEAVING),
+    RemovedUpstream('u1', 1, 18, 7),
+    upstream('u1', incarnation=2, beat=1, version=20),
+    RemovedUpstream('u1', 2, 23, 1),
+)
+
+
+@given(
+    known=strategies.integers(1, len(COURSE)),
+    arrivals=strategies.lists(strategies.integers(0, len(COURSE) - 1)),
+)
+def test_order_of_messages_does_not_decide_what_holds(known, arrivals):
+    """Guards against an older record in a late message that is applied.
+
+    Each message has a newer version than the receiver has read, as after an
+    outage of its sender.
+    """
+    course = COURSE[:known]
+    follower = make_updater(version=9)
+    order = (*arrivals, known - 1, *arrivals)
+    for number in order:
+        record = course[min(number, known - 1)]
+        is_removal = isinstance(record, RemovedUpstream)
+        follower.apply_changes(
+            UpstreamChanges(
+                'h2',
+                VERSION + 100,
+                [] if is_removal else [record],
+                [record] if is_removal else [],
+            )
+        )
+    last = course[-1]
+    expected = None if isinstance(last, RemovedUpstream) else last
+    assert follower.state.view.upstreams.by_name.get('u1') == expected
+
+
+def test_record_that_was_read_already_is_ignored():
+    """Guards against the return of an upstream that was read as removed."""
+    follower = make_updater(version=78)
+    changes = UpstreamChanges('h2', 91, [upstream('u1', version=53)])
+    follower.apply_changes(changes)
+    assert not names(follower)
+
+
 def test_late_removal_spares_the_next_incarnation():
     """Guards against a late removal that drops a restarted upstream."""
     reader = make_updater()
     reader.put_upstream(upstream('u1'))
-    reader.remove_upstream('u1')
+    reader.remove_upstream('u1', VERSION)
     reborn = dataclasses.replace(upstream('u1'), incarnation=2)
     follower = make_updater(reborn, version=VERSION - 1)
     for changes in reader.outgoing_changes.drain():
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -12,7 +12,7 @@
 from egretmill.fleet.freshness import Freshness
 from egretmill.host.state import HostState
 from egretmill.host.state_updater import StateUpdater
-from egretmill.tables import StoredRow
+from egretmill.tables import Changes, Snapshot, StoredRow
 from tests.host.fakes import DIALECT, SETTINGS
 
 CONFIGURATION = {
@@ -71,6 +71,16 @@
     return json.dumps({**body, **changes}).encode()
 
 
+def registration(content):
+    """Return the row of an upstream."""
+    return StoredRow('i-1', content, 3)
+
+
+def changes(row):
+    """Return an answer with one changed row."""
+    return Changes((row,), row.version)
+
+
 def test_configuration_is_decoded():
     """Guards against decoding a field into the wrong place or unit."""
     decoded = decode_configuration(encode(CONFIGURATION)).ok_value
@@ -107,7 +117,7 @@
 
 def test_upstream_is_decoded():
     """Guards against an upstream with a wrong service, domain or address."""
-    upstream = decode_upstream('i-1', encode(UPSTREAM), REGIONS).ok_value
+    upstream = decode_upstream(registration(encode(UPSTREAM)), REGIONS).ok_value
     assert (upstream.service, upstream.failure_domain) == ('x', 'west-a')
     assert (upstream.address, upstream.port) == ('10.0.0.9', 8080)
     assert (upstream.incarnation, upstream.beat) == (17, 4)
@@ -129,7 +139,7 @@
 )
 def test_invalid_registration_is_an_error(content):
     """Guards against requests to addresses from malformed registrations."""
-    assert isinstance(decode_upstream('i-1', content, REGIONS), Err)
+    assert isinstance(decode_upstream(registration(content), REGIONS), Err)
 
 
 def make_updater():
@@ -146,14 +156,17 @@
     freshness = Freshness()
     listener = OperatorTableListener(updater, freshness)
     config = StoredRow('config', encode(CONFIGURATION), 1)
-    listener.replace_rows((config, StoredRow('evacuate/west-a', b'{}', 2)))
+    evacuation = StoredRow('evacuate/west-a', b'{}', 2)
+    listener.replace_rows(Snapshot((config, evacuation), 2))
     view = updater.state.view
     assert (view.version, view.evacuated) == (12, {'west-a'})
-    listener.apply_change(StoredRow('evacuate/west-a', b'', 3, removed=True))
+    listener.apply_changes(
+        changes(StoredRow('evacuate/west-a', b'', 3, removed=True))
+    )
     assert view.evacuated == frozenset()
     older = encode(CONFIGURATION, Version='0000000a')
-    listener.apply_change(StoredRow('config', older, 4))
-    listener.apply_change(StoredRow('unknown', b'', 6))
+    listener.apply_changes(changes(StoredRow('config', older, 4)))
+    listener.apply_changes(changes(StoredRow('unknown', b'', 6)))
     assert view.version == 12
     listener.confirm_current(3.0)
     assert freshness.confirmed_at == pytest.approx(3.0)
@@ -164,14 +177,16 @@
     updater = make_updater()
     freshness = Freshness()
     listener = OperatorTableListener(updater, freshness)
-    listener.replace_rows((StoredRow('config', encode(CONFIGURATION), 1),))
+    listener.replace_rows(
+        Snapshot((StoredRow('config', encode(CONFIGURATION), 1),), 1)
+    )
     listener.confirm_current(1.0)
-    listener.apply_change(StoredRow('config', b'damaged', 2))
+    listener.apply_changes(changes(StoredRow('config', b'damaged', 2)))
     listener.confirm_current(2.0)
     assert updater.state.view.version == 12
     assert freshness.confirmed_at == pytest.approx(1.0)
     newer = encode(CONFIGURATION, Version='0000000d')
-    listener.apply_change(StoredRow('config', newer, 3))
+    listener.apply_changes(changes(StoredRow('config', newer, 3)))
     listener.confirm_current(3.0)
     assert updater.state.view.version == 13
     assert freshness.confirmed_at == pytest.approx(3.0)
@@ -183,14 +198,13 @@
     listener = UpstreamTableListener(
         updater, Freshness(), REGIONS, lambda: -1.0
     )
-    listener.replace_rows(
-        (
-            StoredRow('i-1', encode(UPSTREAM), 1),
-            StoredRow('i-2', encode(UPSTREAM), 2),
-        ),
-    )
-    listener.apply_change(StoredRow('i-1', b'\x00', 3))
+    rows = [
+        StoredRow(name, encode(UPSTREAM), version)
+        for version, name in enumerate(('i-1', 'i-2'), 1)
+    ]
+    listener.replace_rows(Snapshot(tuple(rows), 2))
+    listener.apply_changes(changes(StoredRow('i-1', b'\x00', 3)))
     names = updater.state.view.upstreams.by_name.keys()
     assert names == {'i-2'}
-    listener.replace_rows(())
+    listener.replace_rows(Snapshot((), 4))
     assert not updater.state.view.upstreams.by_name
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -184,14 +184,14 @@
         """Start without a row."""
         self.content = None
 
-    def replace_rows(self, rows):
+    def replace_rows(self, snapshot):
         """Keep the last row."""
-        for row in rows:
-            self.apply_change(row)
+        self.apply_changes(snapshot)
 
-    def apply_change(self, row):
-        """Keep the row."""
-        self.content = row.content
+    def apply_changes(self, changes):
+        """Keep the last row."""
+        for row in changes.rows:
+            self.content = row.content
 
     def confirm_current(self, sent_at):
         """Ignore the age of the copy."""
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -31,13 +31,13 @@
     changed_rows: list = dataclasses.field(default_factory=list)
     confirmation_times: list = dataclasses.field(default_factory=list)
 
-    def replace_rows(self, rows):
+    def replace_rows(self, snapshot):
         """Record a whole table."""
-        self.snapshots.append(rows)
+        self.snapshots.append(snapshot.rows)
 
-    def apply_change(self, row):
-        """Record a changed row."""
-        self.changed_rows.append(row)
+    def apply_changes(self, changes):
+        """Record changed rows."""
+        self.changed_rows.extend(changes.rows)
 
     def confirm_current(self, sent_at, source='store'):
         """Record the time of a confirmation."""
