Delay removals of upstreams only after an outage of the store

Callers could be sent to an upstream that had left more than Drain ago: after any failed call, also a single refused one, removals waited two seconds for lapsed entries to return; with the interval of the reads that is up to 2.9 s.

Cause: each answer after a failure counted as the end of an outage. Now the copy must have been unconfirmed for 1.5 s, by the store and by peers.

--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -27,6 +28,9 @@
 MAX_RETRY_PAUSE_S = 0.8
 #: Pause after an answer that did not confirm the copy, in seconds.
 UNCONFIRMED_PAUSE_S = 0.25
+#: With a copy that is younger, failed calls were no outage in which entries
+#: can have lapsed, in seconds: an interval of the reads and a few attempts.
+MIN_OUTAGE_S = 1.5
 #: A shorter wait is skipped to save the wake-up, in seconds.
 MIN_WAIT_S = 0.1
 
@@ -128,6 +132,9 @@
         self.version: int | None = None
         self.highest_version = 0
         self.failures = 0
+        #: Boot time at which the last answer was known to be current.
+        self.answered_at = -math.inf
+        #: When the last outage of the store ended.
         self.recovered_at = -1.0
         self.poll_requested = asyncio.Event()
         self.rng = random.Random()  # noqa: S311
@@ -219,7 +226,7 @@
             )
             self.failures += 1
             return False
-        self.record_recovery()
+        self.record_recovery(sent_at)
         self.log_rows(answer.ok_value, sent_at)
         self.apply_rows(answer.ok_value)
         self.listener.confirm_current(sent_at)
@@ -301,8 +308,12 @@
             sent_before_s=round(self.now() - sent_at, 3),
         )
 
-    def record_recovery(self) -> None:
+    def record_recovery(self, sent_at: float) -> None:
         """Record an answer; log the end of an outage."""
+        current_at = self.answered_at
+        if self.freshness is not None:
+            current_at = max(current_at, self.freshness.confirmed_at)
+        self.answered_at = sent_at
         if not self.failures:
             return
         log_event(
@@ -311,4 +322,5 @@
             failures=self.failures,
         )
         self.failures = 0
-        self.recovered_at = self.now()
+        if sent_at - current_at >= MIN_OUTAGE_S:
+            self.recovered_at = self.now()
