Tell the peers of upstreams that have not returned after an outage

Peers kept an upstream that had lapsed while a designated reader was without the store: its removal came two seconds after the read, was sent with the next read only, and was discarded when a message of the other reader arrived in between.

A host that removes an upstream after the wait sends that at once. A message of another reader discards only the changes of the upstreams that it names. Changes that a peer has sent are not collected for sending at all.

--- a/egretmill/host/state_updater.py
+++ b/egretmill/host/state_updater.py
@@ -97,7 +97,9 @@
             timer.cancel()
         before = self.state.view.put_upstream(upstream)
         is_same = _is_same(before, upstream)
-        if upstream.cold_s > 0 or not is_same:
+        if source != STORE_SOURCE:
+            self.outgoing_changes.discard(upstream.name)
+        elif upstream.cold_s > 0 or not is_same:
             # The end of a cold start can move, which the others need to know.
             self.outgoing_changes.add_changed(upstream)
         if is_same:
@@ -130,9 +132,14 @@
         elif name not in self.removal_timers:
             loop = asyncio.get_running_loop()
             self.removal_timers[name] = loop.call_later(
-                left_s, self.remove_upstream, name, version
+                left_s, self.remove_lapsed_upstream, name, version
             )
 
+    def remove_lapsed_upstream(self, name: str, version: int) -> None:
+        """Remove an upstream that has not returned; tell the peers."""
+        self.remove_upstream(name, version)
+        self.on_read(self.outgoing_changes)
+
     def handle_missing_upstreams(
         self,
         present: frozenset[str],
@@ -171,7 +178,10 @@
         if dropped is None:
             return
         self.state.remove_upstream(dropped)
-        self.outgoing_changes.add_removed(dropped, version)
+        if source == STORE_SOURCE:
+            self.outgoing_changes.add_removed(dropped, version)
+        else:
+            self.outgoing_changes.discard(name)
         log_event(
             events.CATALOGUE.UPSTREAM_CHANGED,
             upstream=name,
@@ -193,7 +203,6 @@
             self.put_upstream(upstream, changes.host)
         for removed in filter(is_newer, changes.gone):
             self.apply_removal(removed, changes.host)
-        self.outgoing_changes.clear()
 
     def apply_removal(self, removed: RemovedUpstream, source: str) -> None:
         """Apply a removal that a peer has sent, unless it is outdated."""
--- a/egretmill/host/upstream_changes.py
+++ b/egretmill/host/upstream_changes.py
@@ -49,6 +49,11 @@
             upstream.name, upstream.incarnation, version, upstream.beat
         )
 
+    def discard(self, name: str) -> None:
+        """Discard the change of an upstream, which another host has sent."""
+        self.changed.pop(name, None)
+        self.removed.pop(name, None)
+
     def clear(self) -> None:
         """Discard the collected changes, which another host sends."""
         self.changed.clear()
