Read a whole table when a peer has other data for long

Any wrong record, of whatever cause, stayed until the upstream's next report or a restart.

An older read does not drop a record that a peer has sent since.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -331,6 +331,12 @@
         logging.WARNING,
         'A silent host is suspected of having left, or no longer is.',
     )
+    PEER_DIFFERS = Event(
+        612,
+        'peer_differs',
+        logging.WARNING,
+        'A peer has had other data for long; the whole table is read again.',
+    )
     DUTY_CHANGED = Event(
         609,
         'duty_changed',
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -7,7 +7,12 @@
 from egretmill import events
 from egretmill.fleet.view import Topic
 from egretmill.host.copy_log import CopyLog
-from egretmill.host.store_read_policy import StoreReadPolicy, topic_reports
+from egretmill.host.differences import DifferenceTracker
+from egretmill.host.store_read_policy import (
+    StoreReadPolicy,
+    TopicReport,
+    topic_reports,
+)
 from egretmill.host.upstream_changes import ChangeBuffer
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
@@ -39,6 +44,10 @@
     """Ignore a peer with a newer configuration."""
 
 
+def ignore_topic(topic: Topic) -> None:
+    """Ignore a difference."""
+
+
 class HeartbeatService:
     """Sends a heartbeat to each peer in every interval and handles theirs.
 
@@ -59,11 +68,14 @@
         self.on_difference = on_difference
         #: Called with a peer that has a newer configuration.
         self.on_newer_configuration: Callable[[Peer], None] = ignore_peer
+        #: Called with a topic for which the whole table is to be read.
+        self.on_lasting_difference: Callable[[Topic], None] = ignore_topic
         self.tokens = state.tokens
         self.link: PeerLink | None = None
         self.live_names: frozenset[str] = frozenset()
         self.is_designated_reader = False
         self.read_policy = StoreReadPolicy(state)
+        self.differences = DifferenceTracker()
         self.copy_log = CopyLog(state)
         #: Shortages and spare fractions by account, as of the last tick.
         self.advertised: tuple[dict[str, tuple[float, float]], dict[str, float]]
@@ -261,6 +273,7 @@
             digests[Topic.CONFIGURATION]
         )
         for topic, report in topic_reports(heartbeat).items():
+            self.differences.record_own(topic, digests[topic], now)
             if report.digest == digests[topic]:
                 if report.age_s >= 0:
                     self.state.freshness(topic).confirm(
@@ -268,12 +281,28 @@
                         heartbeat.host,
                         report.age_s,
                     )
+            self.track_difference(topic, heartbeat.host, report, now)
+            if report.digest == digests[topic]:
                 continue
             if topic is Topic.CONFIGURATION:
                 self.record_newer_configuration(heartbeat, now)
             if self.read_policy.should_read_store(topic, report, now):
                 self.on_difference(topic)
 
+    def track_difference(
+        self, topic: Topic, peer: str, report: TopicReport, now: float
+    ) -> None:
+        """Read the whole table if a peer has had other data for long."""
+        if self.differences.is_equal(topic, report.digest):
+            self.differences.record_equal(topic, peer, now)
+            return
+        if not self.differences.should_read_whole(
+            topic, peer, report.age_s, now
+        ):
+            return
+        log_event(events.CATALOGUE.PEER_DIFFERS, peer=peer, topic=topic.value)
+        self.on_lasting_difference(topic)
+
     def record_newer_configuration(
         self, heartbeat: Heartbeat, now: float
     ) -> None:
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -128,6 +128,7 @@
         operator_watch.keeps_rows = True
         self.copies = CopyClient(state, operator_watch)
         self.heartbeats.on_newer_configuration = self.copies.ask_if_behind
+        self.heartbeats.on_lasting_difference = self.trigger_whole_read
 
     async def run(self, signals: StopSignals) -> int:
         """Serve until the first signal, then shut down gracefully."""
@@ -197,6 +198,10 @@
         """Read the store now, because a peer has other data on a topic."""
         self.watches[topic].poll_now()
 
+    def trigger_whole_read(self, topic: Topic) -> None:
+        """Read a whole table now, because a peer differs for long."""
+        self.watches[topic].read_whole_now()
+
     def reload(self) -> None:
         """Apply changed settings, as far as they can change while running."""
         loaded = self.adapter.reload()
--- a/egretmill/host/state_updater.py
+++ b/egretmill/host/state_updater.py
@@ -171,6 +171,10 @@
 
         :param version: store version as of which it is not registered.
         """
+        current = self.state.view.upstreams.by_name.get(name)
+        if current is not None and 0 < version < current.version:
+            # A peer has sent a newer record than the read that lacks it.
+            return
         timer = self.removal_timers.pop(name, None)
         if timer is not None:
             timer.cancel()
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -137,6 +137,7 @@
         #: When the last outage of the store ended.
         self.recovered_at = -1.0
         self.poll_requested = asyncio.Event()
+        self.whole_read_requested = False
         self.rng = random.Random()  # noqa: S311
 
     @property
@@ -169,6 +170,11 @@
         """Make the next call at once, after a hint of a change."""
         self.poll_requested.set()
 
+    def read_whole_now(self) -> None:
+        """Read the whole table with the next call, and make it at once."""
+        self.whole_read_requested = True
+        self.poll_now()
+
     async def pause(self, pause_s: float) -> None:
         """Wait for a time; :meth:`poll_now` ends the wait early."""
         if pause_s <= 0:
@@ -202,7 +208,7 @@
         The first call after a failure does not wait for a change, because
         its answer is the first confirmation after an outage.
         """
-        if self.version is None:
+        if self.version is None or self.whole_read_requested:
             return await self.store.read(self.table)
         wait_s = 0 if self.failures else self.timing.wait_s
         return await self.store.changes(self.table, self.version, wait_s)
@@ -237,6 +243,7 @@
         match answer:
             case Snapshot():
                 self.rows.clear()
+                self.whole_read_requested = False
                 self.listener.replace_rows(answer)
             case Changes():
                 self.listener.apply_changes(answer)
--- a/tests/platform/test_watches.py
+++ b/tests/platform/test_watches.py
@@ -141,3 +141,16 @@
     assert not host.updater.state.pool.is_eligible(load)
     assert load.record.beat == 5
     assert not host.sent
+
+
+async def test_read_that_lacks_a_newer_record_of_a_peer_keeps_it():
+    """Guards against a new upstream that is dropped by an older read."""
+    reader, follower = Host(), Host()
+    reader.read_whole(50)
+    reader.read_changes(55, put(55))
+    follower.read_whole(50)
+    follower.receive_from(reader)
+    follower.read_whole(54)
+    assert follower.names() == [NAME]
+    follower.read_whole(56)
+    assert not follower.names()
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -332,3 +332,20 @@
     watch.apply_copy(Snapshot((), 12), 0, 'h2')
     assert not watch.apply_answer(answer, 0)
     assert (listener.changed_rows, watch.version) == ([], 12)
+
+
+async def test_requested_whole_read_is_repeated_until_it_succeeds():
+    """Guards against a difference that stays because one read failed."""
+    store, listener, watch = await run_watch(
+        Ok(Snapshot((ROW,), 7)), Ok(Changes((), 8))
+    )
+    watch.store = ScriptedStore(
+        failed_answer(StoreProblem.UNAVAILABLE),
+        Ok(Snapshot((), 9)),
+        Ok(Changes((), 9)),
+    )
+    watch.read_whole_now()
+    with contextlib.suppress(asyncio.CancelledError):
+        await watch.run()
+    assert watch.store.calls[:3] == ['read', 'read', 'after 9']
+    assert listener.snapshots == [(ROW,), ()]
