--- a/standins/tables.py
+++ b/standins/tables.py
@@ -39,14 +39,27 @@
     malformed: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class SavedTables:
+    """A copy of the store, from which it can come back."""
+
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    changes: list[tuple[int, str, str, bytes | None]]
+    version: int
+
+
 class TableServer:
     """Rows of all tables and the history of their changes, in memory.
 
     The history holds the changes after ``compacted_version``.
+
+    :param era: rises with each return from an older copy; 0 for a store that
+        states none.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0) -> None:
         """Start empty."""
+        self.era = era
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self.changes: list[tuple[int, str, str, bytes | None]] = []
         self.version = 0
@@ -73,6 +86,18 @@
         self.changes.clear()
         self.compacted_version = self.version
 
+    def save(self) -> SavedTables:
+        """Return a copy to come back from."""
+        return SavedTables(dict(self.rows), list(self.changes), self.version)
+
+    def restore(self, saved: SavedTables) -> None:
+        """Come back from a copy; what was written since is lost."""
+        self.rows = dict(saved.rows)
+        self.changes = list(saved.changes)
+        self.version = saved.version
+        self.compacted_version = min(self.compacted_version, saved.version)
+        self.era += 1
+
     def version_of(self, table: str, key: str) -> int:
         """Return the version of a row, 0 if it does not exist."""
         return self.rows.get((table, key), (b'', 0))[1]
@@ -100,6 +125,8 @@
 
     async def prepare(self) -> None:
         """Record the call and apply the faults to it."""
+        if self.server.era:
+            self.set_header('Store-Era', str(self.server.era))
         name = self.request.path.rpartition('/')[2]
         self.server.calls.append(name)
         if self.server.faults.silent:
@@ -158,7 +185,8 @@
         table = self.get_query_argument('Table')
         after_version = int(self.get_query_argument('after'))
         wait_s = int(self.get_query_argument('WaitMs', '0')) / 1000
-        if after_version < self.server.compacted_version:
+        is_known = after_version <= self.server.version
+        if after_version < self.server.compacted_version or not is_known:
             self.set_status(HTTP_GONE)
             return
         loop = asyncio.get_running_loop()
