Compare versions of the store within one of its eras only

Cause: a version is a number that goes back and is given out again. Answers below the highest number were dropped as stale, until the counter had passed it. From then on, the changes after a number of the lost history passed for those after the copy that is held. The same held for copies and changes from peers, for the incarnation of a host that joins again, and for conditions of writes.

The adapter decodes Store-Era and returns versions that hold the era in their higher bits, so that all comparisons order by era first. A read of changes ends with the era of its version, as with lost history; a table is not put together from pages of two eras; an answer of an earlier era is a failed call; a condition of an earlier era does not hold. Where an older row of the copy has a version of the later era, reports are compared instead.

Since whole reads are no longer dropped, a store that holds an older configuration than the one in force must not confirm it. tests/platform/test_rows.py took such a row for a confirmation; it now asserts that it is none, and that the same version, once written again, is.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -157,6 +157,12 @@
         logging.INFO,
         'A call to the store brought rows; says how long before it was sent.',
     )
+    STORE_RESTORED = Event(
+        222,
+        'store_restored',
+        logging.WARNING,
+        'The store has returned from an older copy; later writes are lost.',
+    )
     STORE_CALL_FAILED = Event(
         214,
         'store_call_failed',
--- a/egretmill/fleet/upstreams.py
+++ b/egretmill/fleet/upstreams.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from egretmill.tables.versions import is_later_in_era
+
 __all__ = ('Removal', 'Upstream', 'UpstreamList', 'UpstreamState')
 
 #: Removals to remember. Late reports of older ones no longer arrive.
@@ -80,9 +82,10 @@
         """
         if other.incarnation != self.incarnation:
             return other.incarnation > self.incarnation
-        if other.version and self.version:
-            return other.version > self.version
-        return other.beat > self.beat
+        is_later = is_later_in_era(other.version, self.version)
+        if is_later is None or not other.version or not self.version:
+            return other.beat > self.beat
+        return is_later
 
 
 class UpstreamList:
--- a/egretmill/tables/ports.py
+++ b/egretmill/tables/ports.py
@@ -57,7 +57,8 @@
     """A row as stored.
 
     :param version: version of the transaction that wrote the row; one
-        counter for all tables.
+        counter for all tables, with the era of the read
+        (:mod:`egretmill.tables.versions`).
     """
 
     key: str
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -150,7 +150,8 @@
 def test_operator_rows_are_applied():
     """Guards against an evacuation or newer version that is not applied.
 
-    Also against an older or malformed version that replaces it.
+    Also against an older version that replaces it or counts as confirmation:
+    the store may have returned from a copy that lacks later ones.
     """
     updater = make_updater()
     freshness = Freshness()
@@ -169,7 +170,11 @@
     listener.apply_changes(changes(StoredRow('unknown', b'', 6)))
     assert view.version == 12
     listener.confirm_current(3.0)
-    assert freshness.confirmed_at == pytest.approx(3.0)
+    assert freshness.confirmed_at < 0
+    same = StoredRow('config', encode(CONFIGURATION), 7)
+    listener.apply_changes(changes(same))
+    listener.confirm_current(4.0)
+    assert freshness.confirmed_at == pytest.approx(4.0)
 
 
 def test_version_that_could_not_be_decoded_ends_the_confirmation():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -20,6 +20,7 @@
     TableWatch,
     Write,
 )
+from egretmill.tables.versions import era_of
 from soak.links import LinkFaults, TcpLink
 from standins.tables import TableServer, make_application
 
@@ -264,3 +265,52 @@
             await wait_for_content(listener, content, Bounds().apply_s)
 
     run_with_store(scenario)
+
+
+@pytest.mark.parametrize('era', ['x', '-1', '1.5', '9' * 30, ''])
+def test_malformed_era_is_a_failed_call(era):
+    """Guards against versions of an unknown era, and against a crash."""
+
+    async def scenario(store, server):
+        server.put('t', 'a', b'1')
+        server.era = era or ' '
+        assert problem_of(await store.read('t')) is StoreProblem.MALFORMED
+        server.era = 4
+        assert era_of((await store.read('t')).ok_value.version) == 4
+
+    run_with_store(scenario)
+
+
+def test_late_answer_of_an_earlier_era_is_not_used():
+    """Guards against a copy that goes back to the time before a restore."""
+
+    async def scenario(store, server):
+        server.put('t', 'a', b'1')
+        server.era = 5
+        assert not isinstance(await store.read('t'), Err)
+        server.era = 4
+        assert problem_of(await store.read('t')) is StoreProblem.UNANSWERED
+
+    run_with_store(scenario)
+
+
+def test_table_is_not_put_together_from_two_eras(monkeypatch):
+    """Guards against rows of the lost history beside those of the copy."""
+    monkeypatch.setattr(store_module, 'PAGE_ROWS', 2)
+
+    async def scenario(store, server):
+        server.era = 1
+        for number in range(4):
+            server.put('t', f'k{number}', b'')
+        get_page = store.get
+
+        async def return_between_pages(request):
+            answer = await get_page(request)
+            server.era = 2
+            return answer
+
+        monkeypatch.setattr(store, 'get', return_between_pages)
+        assert problem_of(await store.read('t')) is StoreProblem.HISTORY_GONE
+        assert era_of((await store.read('t')).ok_value.version) == 2
+
+    run_with_store(scenario)
