Keep what is in force while a restored store is written again

With versions that hold their era, the first whole read after a return from an older copy would end evacuations, begin ended ones again, revive upstreams that had left and drop hosts from the roster, whose shares then add up to too much or end.

A table of a later era than the copy is merged. Evacuations and members that it lacks stay, those that had ended do not return (their rows have the numbers that are known), upstreams get the time to register again, and records are ordered by their reports. Five seconds later the whole table is read again and holds as it is, so that what is not written again ends. A host writes its roster entry again without waiting as one that joins; the first live one removes the entries of hosts that it knows as removed. All tables are read at once when one shows the return.

The rows of the roster get a module of their own. Copies for peers hold the rows in force, also while the store has older ones.

--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -119,14 +119,14 @@
             Topic.ROSTER: TableWatch(
                 adapter.store,
                 ROSTER_TABLE,
-                self.keeper,
+                self.keeper.table,
                 ROSTER_POLL_TIMING,
                 freshness=state.share.freshness,
             ),
         }
-        operator_watch = self.watches[Topic.CONFIGURATION]
-        operator_watch.keeps_rows = True
-        self.copies = CopyClient(state, operator_watch)
+        for watch in self.watches.values():
+            watch.on_restored = self.poll_all_tables
+        self.copies = CopyClient(state, self.watches[Topic.CONFIGURATION])
         self.heartbeats.on_newer_configuration = self.copies.ask_if_behind
         self.heartbeats.on_lasting_difference = self.trigger_whole_read
 
@@ -194,6 +194,11 @@
             (Endpoint(settings.address, settings.peer_port), copies),
         )
 
+    def poll_all_tables(self) -> None:
+        """Read all tables now, because the store has returned."""
+        for watch in self.watches.values():
+            watch.poll_now()
+
     def trigger_read(self, topic: Topic) -> None:
         """Read the store now, because a peer has other data on a topic."""
         self.watches[topic].poll_now()
--- a/egretmill/host/roster_keeper.py
+++ b/egretmill/host/roster_keeper.py
@@ -1,6 +1,7 @@
 """Maintains the own roster entry and removes those of dead hosts."""
 
 import asyncio
+import contextlib
 import dataclasses
 import math
 
@@ -8,17 +9,18 @@
 from result import Err, Ok
 
 from egretmill import events
-from egretmill.fleet.freshness import STORE_SOURCE
-from egretmill.host.capacity import find_large
+from egretmill.host.roster_table import (
+    ROSTER_TABLE,
+    RosterEntry,
+    RosterRow,
+    RosterTable,
+)
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
 from egretmill.shares.loans import LOAN_S
 from egretmill.shares.roster import ROSTER_LEASE_S
 from egretmill.tables.ports import (
-    Changes,
     RowKey,
-    Snapshot,
-    StoredRow,
     StoreFailure,
     TableStore,
     Write,
@@ -26,7 +28,6 @@
 
 __all__ = ('ROSTER_TABLE', 'RosterKeeper')
 
-ROSTER_TABLE = 'egretmill-roster'
 #: A host is suspected to be dead after this time without heartbeats, in
 #: seconds; well above a restart, in which it keeps its entry.
 SUSPECT_AFTER_S = 15.0
@@ -38,41 +39,14 @@
 JOIN_RETRY_S = 0.3
 
 
-class RosterEntry(msgspec.Struct, frozen=True):
-    """Content of a row: where the host receives heartbeats.
-
-    :param suspected: another host has received no heartbeats from it.
-    :param known_by_all: every other host counts this one, so a restarted
-        incarnation need not wait for them.
-    :param capacity_per_s: capacity in requests per second, 0 for unknown.
-    """
-
-    address: str
-    port: int
-    suspected: bool = False
-    known_by_all: bool = False
-    capacity_per_s: float = 0
-
-
-@dataclasses.dataclass(slots=True)
-class RosterRow:
-    """A row of the roster, and when its host was last known to be alive."""
-
-    entry: RosterEntry
-    version: int
-    last_seen_at: float
-
-
 class RosterKeeper:
-    """Reads the roster table and writes to it."""
+    """Writes the own entry, and removes those of dead hosts."""
 
     def __init__(self, state: HostState, store: TableStore) -> None:
         """Maintain the entry of the host with this state."""
         self.state = state
         self.store = store
-        self.rows: dict[str, RosterRow] = {}
-        #: Versions of all rows when they were last read, malformed ones too.
-        self.row_versions: dict[str, int] = {}
+        self.table = RosterTable(state)
         self.joined_at = math.inf
 
     async def join(self) -> None:
@@ -80,7 +54,7 @@
         while True:
             read = await self.store.read(ROSTER_TABLE)
             if isinstance(read, Ok):
-                self.replace_rows(read.ok_value)
+                self.table.replace_rows(read.ok_value)
                 if await self.write_own_entry():
                     return
             await asyncio.sleep(JOIN_RETRY_S)
@@ -92,7 +66,7 @@
         of it waits as long as a new one.
         """
         settings = self.state.settings
-        previous = self.rows.get(settings.name)
+        previous = self.table.rows.get(settings.name)
         was_known = previous is not None and previous.entry.known_by_all
         entry = RosterEntry(
             settings.address,
@@ -100,7 +74,7 @@
             known_by_all=was_known,
             capacity_per_s=round(settings.capacity.requests_per_s, 1),
         )
-        expected_version = self.row_versions.get(settings.name, 0)
+        expected_version = self.table.row_versions.get(settings.name, 0)
         stored_version = await self.write_entry(
             settings.name, entry, expected_version, 'join'
         )
@@ -144,10 +118,54 @@
     async def maintain(self) -> None:
         """Maintain the roster until cancelled."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self.table.restored.wait()
+            if self.table.restored.is_set():
+                await self.write_again()
             await self.maintain_own_entry()
             await self.remove_dead_hosts()
 
+    async def write_again(self) -> None:
+        """Write again what the store has lost with its return from a copy.
+
+        The own entry keeps its content: the other hosts count this one all
+        the while, so it need not wait as one that joins.
+        """
+        own_name = self.state.settings.name
+        own = self.table.rows.get(own_name)
+        expected_version = self.table.row_versions.get(own_name, 0)
+        is_done = own is None or own.version == expected_version
+        if own is not None and not is_done:
+            written = await self.write_entry(
+                own_name, own.entry, expected_version, 'restore'
+            )
+            is_done = written is not None
+        for name in tuple(self.table.revived):
+            await self.remove_revived(name)
+        if is_done:
+            self.table.restored.clear()
+        else:
+            await asyncio.sleep(JOIN_RETRY_S)
+
+    async def remove_revived(self, name: str) -> None:
+        """Remove the entry of a host that was removed before, once."""
+        self.table.revived.discard(name)
+        now = self.state.now()
+        if self.state.peers.is_alive(name, now) or not self.is_first_alive(now):
+            return
+        version = self.table.row_versions.get(name, 0)
+        row = dataclasses.replace(
+            self.table.removed_rows[name], version=version
+        )
+        await self.remove_entry(name, row)
+
+    def is_first_alive(self, now: float) -> bool:
+        """Return whether this host has the first name of the live ones."""
+        own = self.state.settings.name
+        live_names = {peer.name for peer in self.state.peers.live_peers(now)}
+        return own == min(live_names | {own})
+
     async def maintain_own_entry(self) -> None:
         """Keep the entry of this host in line with its state.
 
@@ -157,7 +175,7 @@
         partitioned from the others.
         """
         share = self.state.share
-        own = self.rows.get(share.host)
+        own = self.table.rows.get(share.host)
         if own is None and share.freshness.confirmed_at > self.joined_at:
             await self.join()
         elif own is not None and own.entry.suspected:
@@ -183,12 +201,12 @@
         """
         now = self.state.now()
         live_names = {peer.name for peer in self.state.peers.live_peers(now)}
-        for name in live_names & self.rows.keys():
-            self.rows[name].last_seen_at = now
+        for name in live_names & self.table.rows.keys():
+            self.table.rows[name].last_seen_at = now
         own = self.state.settings.name
-        if own != min(live_names | {own}):
+        if not self.is_first_alive(now):
             return
-        for name, row in tuple(self.rows.items()):
+        for name, row in tuple(self.table.rows.items()):
             if name != own:
                 await self.check_missing_heartbeats(
                     name, row, now - row.last_seen_at
@@ -234,65 +252,6 @@
         else:
             log_event(events.CATALOGUE.ROSTER_REMOVED, peer=name)
 
-    def replace_rows(self, snapshot: Snapshot) -> None:
-        """Replace the roster."""
-        rows = snapshot.rows
-        self.row_versions = {row.key: row.version for row in rows}
-        present = {row.key for row in rows}
-        for name in self.rows.keys() - present:
-            self.rows.pop(name)
-        for row in rows:
-            self.put_row(row)
-
-    def apply_changes(self, changes: Changes) -> None:
-        """Apply changed and removed entries."""
-        for row in changes.rows:
-            if row.removed:
-                self.rows.pop(row.key, None)
-            else:
-                self.put_row(row)
-
-    def confirm_current(
-        self, sent_at: float, source: str = STORE_SOURCE
-    ) -> None:
-        """Apply the roster, which was current at a boot time."""
-        self.state.share.freshness.confirm(sent_at, source)
-        before = self.state.share.members
-        self.state.suspects = frozenset(
-            name for name, row in self.rows.items() if row.entry.suspected
-        )
-        now = self.state.now()
-        candidates = find_large(
-            {name: row.entry.capacity_per_s for name, row in self.rows.items()}
-        )
-        if self.state.share.apply_roster(self.rows, sent_at, now, candidates):
-            self.state.peers.apply_roster(
-                {
-                    name: (row.entry.address, row.entry.port)
-                    for name, row in self.rows.items()
-                },
-            )
-            log_event(
-                events.CATALOGUE.ROSTER_CHANGED,
-                added=sorted(self.rows.keys() - before),
-                removed=sorted(before - self.rows.keys()),
-            )
-
-    def put_row(self, row: StoredRow) -> None:
-        """Decode and store an entry; a malformed one is treated as missing."""
-        try:
-            entry = msgspec.json.decode(row.content, type=RosterEntry)
-        except msgspec.MsgspecError as error:
-            self.rows.pop(row.key, None)
-            log_event(
-                events.CATALOGUE.ROW_MALFORMED,
-                table=ROSTER_TABLE,
-                key=row.key,
-                detail=str(error),
-            )
-            return
-        self.rows[row.key] = RosterRow(entry, row.version, self.state.now())
-
     def log_store_failure(self, action: str, failure: StoreFailure) -> None:
         """Log a failed call, which is repeated later."""
         log_event(
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
 from result import Err, Result
@@ -20,6 +20,7 @@
     StoreProblem,
     TableStore,
 )
+from egretmill.tables.versions import era_of
 
 __all__ = ('PollTiming', 'PollTimings', 'TableListener', 'TableWatch')
 
@@ -31,10 +32,17 @@
 #: With a copy that is younger, failed calls were no outage in which entries
 #: can have lapsed, in seconds: an interval of the reads and a few attempts.
 MIN_OUTAGE_S = 1.5
+#: Time after a return of the store from an older copy in which its writers
+#: write again what was lost, in seconds: every host notices the return within
+#: 4 s, by the longest time between two reads and the longest retry pause.
+SETTLE_S = 5.0
 #: A shorter wait is skipped to save the wake-up, in seconds.
 MIN_WAIT_S = 0.1
 
 
+RowsByKey = dict[str, StoredRow]
+
+
 class TableListener(Protocol):
     """Receives the rows of a table."""
 
@@ -42,6 +50,14 @@
         """Replace the whole table; rows that are missing were removed."""
         raise NotImplementedError
 
+    def restore_rows(self, snapshot: Snapshot) -> None:
+        """Apply the table as of a return of the store from an older copy.
+
+        What is in force and missing or older there will be written again. It
+        holds until :meth:`replace_rows` is called some seconds later.
+        """
+        raise NotImplementedError
+
     def apply_changes(self, changes: Changes) -> None:
         """Apply changed and removed rows, in order.
 
@@ -90,6 +106,15 @@
         return cls(timing, timing)
 
 
+def ignore_return() -> None:
+    """Ignore a return of the store."""
+
+
+def keep_stored_rows(stored: RowsByKey, known: RowsByKey) -> RowsByKey:
+    """Return the rows of the store."""
+    return stored
+
+
 def is_never_designated_reader() -> bool:
     """Return False: this host follows the table for itself only."""
     return False
@@ -99,7 +124,8 @@
     """Keeps a copy of one table up to date with the store.
 
     The answer to a call shows that the copy was current at some time after
-    the call was sent. The copy never goes back to an older version.
+    the call was sent. The copy never goes back to an older version, also when
+    the store itself does.
 
     :param freshness: when the copy was last confirmed to be current, by the
         store or a peer.
@@ -128,7 +154,11 @@
         self.now = now
         #: Whether the rows are kept as stored, for :meth:`snapshot`.
         self.keeps_rows = False
-        self.rows: dict[str, StoredRow] = {}
+        self.rows: RowsByKey = {}
+        #: Returns the rows in force, from those of the store and those kept.
+        self.rows_in_force: Callable[[RowsByKey, RowsByKey], RowsByKey] = (
+            keep_stored_rows
+        )
         self.version: int | None = None
         self.highest_version = 0
         self.failures = 0
@@ -138,6 +168,10 @@
         self.recovered_at = -1.0
         self.poll_requested = asyncio.Event()
         self.whole_read_requested = False
+        #: When to read the whole table, after a return of the store.
+        self.settled_at = math.inf
+        #: Called when the store has returned from an older copy.
+        self.on_restored: Callable[[], None] = ignore_return
         self.rng = random.Random()  # noqa: S311
 
     @property
@@ -208,6 +242,8 @@
         The first call after a failure does not wait for a change, because
         its answer is the first confirmation after an outage.
         """
+        if self.now() >= self.settled_at:
+            self.whole_read_requested = True
         if self.version is None or self.whole_read_requested:
             return await self.store.read(self.table)
         wait_s = 0 if self.failures else self.timing.wait_s
@@ -241,24 +277,32 @@
     def apply_rows(self, answer: Snapshot | Changes) -> None:
         """Pass rows on to the listener and keep them."""
         match answer:
+            case Snapshot() if _is_restored(answer, self.highest_version):
+                self.whole_read_requested = False
+                self.settled_at = self.now() + SETTLE_S
+                self.recovered_at = self.now()
+                self.listener.restore_rows(answer)
+                self.on_restored()
             case Snapshot():
-                self.rows.clear()
                 self.whole_read_requested = False
+                self.settled_at = math.inf
                 self.listener.replace_rows(answer)
             case Changes():
                 self.listener.apply_changes(answer)
         if self.keeps_rows:
-            self.keep(answer.rows)
+            self.keep(answer)
         self.version = answer.version
         self.highest_version = answer.version
 
-    def keep(self, rows: Iterable[StoredRow]) -> None:
-        """Keep changed rows; forget removed ones."""
-        for row in rows:
+    def keep(self, answer: Snapshot | Changes) -> None:
+        """Keep the rows that are in force after an answer."""
+        rows = {} if isinstance(answer, Snapshot) else dict(self.rows)
+        for row in answer.rows:
             if row.removed:
-                self.rows.pop(row.key, None)
+                rows.pop(row.key, None)
             else:
-                self.rows[row.key] = row
+                rows[row.key] = row
+        self.rows = self.rows_in_force(rows, self.rows)
 
     def snapshot(self) -> Snapshot | None:
         """Return the copy, ``None`` while there is none."""
@@ -331,3 +375,8 @@
         self.failures = 0
         if sent_at - current_at >= MIN_OUTAGE_S:
             self.recovered_at = self.now()
+
+
+def _is_restored(snapshot: Snapshot, known_version: int) -> bool:
+    """Return whether a table is from a later era than the copy of it."""
+    return 0 < era_of(known_version) < era_of(snapshot.version)
--- a/tests/host/test_roster_keeper.py
+++ b/tests/host/test_roster_keeper.py
@@ -9,12 +9,11 @@
 from egretmill.fleet.view import Topic
 from egretmill.host.capacity import Capacity
 from egretmill.host.roster_keeper import (
-    ROSTER_TABLE,
     SUSPECT_AFTER_S,
     REMOVE_AFTER_S,
-    RosterEntry,
     RosterKeeper,
 )
+from egretmill.host.roster_table import ROSTER_TABLE, RosterEntry
 from egretmill.peers.datagrams import Heartbeat
 from egretmill.shares.loans import LOAN_S
 from egretmill.shares.roster import ROSTER_LEASE_S
@@ -89,8 +88,8 @@
             read = await self.store.read(ROSTER_TABLE)
             return read.ok_value
 
-        self.keeper.replace_rows(asyncio.run(step()))
-        self.keeper.confirm_current(self.time)
+        self.keeper.table.replace_rows(asyncio.run(step()))
+        self.keeper.table.confirm_current(self.time)
 
     async def read(self):
         """Do nothing, so that only the roster is read."""
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -13,7 +13,8 @@
 from egretmill.fleet.view import Topic
 from egretmill.host.metrics import HostMetrics
 from egretmill.host.program import BootLoop
-from egretmill.host.roster_keeper import ROSTER_TABLE, RosterKeeper
+from egretmill.host.roster_keeper import RosterKeeper
+from egretmill.host.roster_table import ROSTER_TABLE
 from egretmill.host.settings import Endpoint
 from egretmill.host.state import HostState
 from egretmill.host.state_updater import StateUpdater
@@ -50,10 +51,9 @@
         self.watches = {
             **make_watches(self.store, self.updater, REGIONS),
             Topic.ROSTER: TableWatch(
-                self.store, ROSTER_TABLE, self.keeper, PollTiming(0)
+                self.store, ROSTER_TABLE, self.keeper.table, PollTiming(0)
             ),
         }
-        self.watches[Topic.CONFIGURATION].keeps_rows = True
         for watch in self.watches.values():
             watch.timings = NO_WAIT
 
@@ -194,6 +194,54 @@
     run_with_store(scenario)
 
 
+def test_evacuation_that_is_not_written_again_ends(monkeypatch):
+    """Guards against upstreams that get no requests for good.
+
+    The operator took it back, which was lost before this host read it.
+    """
+    monkeypatch.setattr('egretmill.tables.watch.SETTLE_S', 0.05)
+
+    async def scenario(server, operator, start_host):
+        operator.configure(10)
+        host = start_host()
+        saved = server.save()
+        operator.evacuate('west-a')
+        await host.read()
+        operator.take_back('west-a')
+        server.restore(saved)
+        await host.read()
+        assert host.view.evacuated == {'west-a'}
+        await asyncio.sleep(0.06)
+        await host.read()
+        assert not host.view.evacuated
+
+    run_with_store(scenario)
+
+
+def test_second_return_undoes_nothing():
+    """Guards against a memory of the first return that misleads the second."""
+
+    async def scenario(server, operator, start_host):
+        operator.configure(10)
+        host = start_host()
+        await host.keeper.join()
+        saved = server.save()
+        for version in (12, 14):
+            operator.configure(version, Tenants=[])
+            server.put(ROSTER_TABLE, 'h2', OTHER_HOST)
+            operator.evacuate('west-a')
+            operator.report('i-1')
+            await host.read()
+            server.restore(saved)
+            await host.read()
+            assert host.view.version == version
+            assert host.view.evacuated == {'west-a'}
+            assert host.candidates() == ['i-1']
+            assert host.state.share.members == {SETTINGS.name, 'h2'}
+
+    run_with_store(scenario)
+
+
 def test_older_configuration_in_the_store_confirms_nothing():
     """Guards against a confirmation by a store that lacks the version."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -189,6 +189,10 @@
         """Keep the last row."""
         self.apply_changes(snapshot)
 
+    def restore_rows(self, snapshot):
+        """Take the table as any other."""
+        self.replace_rows(snapshot)
+
     def apply_changes(self, changes):
         """Keep the last row."""
         for row in changes.rows:
--- a/tests/tables/test_watch.py
+++ b/tests/tables/test_watch.py
@@ -35,6 +35,10 @@
         """Record a whole table."""
         self.snapshots.append(snapshot.rows)
 
+    def restore_rows(self, snapshot):
+        """Take the table as any other."""
+        self.replace_rows(snapshot)
+
     def apply_changes(self, changes):
         """Record changed rows."""
         self.changed_rows.extend(changes.rows)
