Take the later configuration, whoever confirms the earlier one

A host that starts after the store has returned from an older copy knows only the older configuration, which the store confirms until the operator has written the lost one again: a withdrawn key worked there. Its peers heard of a copy confirmed later than theirs, and would refuse requests for its sake.

Heartbeats state the version of the configuration. Of two configurations the one with the later version is newer; age decides only between equal ones.

--- a/egretmill/fleet/freshness.py
+++ b/egretmill/fleet/freshness.py
@@ -44,6 +44,12 @@
         self.source = source
         self.stated_age_s = stated_age_s
 
+    def replace(self, confirmed_at: float, source: str) -> None:
+        """Record that the copy was replaced by one from another source."""
+        self.confirmed_at = confirmed_at
+        self.source = source
+        self.stated_age_s = 0
+
     def age(self, now: float) -> float:
         """Return the seconds since the last confirmation."""
         return now - self.confirmed_at
--- a/egretmill/fleet/view.py
+++ b/egretmill/fleet/view.py
@@ -58,6 +58,7 @@
         if configuration.version <= self.version:
             return False
         self.configuration = configuration
+        self.configuration_lag.record_own_version(configuration.version)
         return True
 
     def apply_evacuations(self, domains: frozenset[str]) -> frozenset[str]:
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -184,6 +184,7 @@
             digests[Topic.UPSTREAMS],
             state.freshness(Topic.UPSTREAMS).age(now),
             state.limits_of_upstreams.announcements(now),
+            state.view.version,
         )
 
     def grant_loans(
@@ -308,12 +309,20 @@
     ) -> None:
         """Record another configuration of a peer, if it is the newer one."""
         view = self.state.view
-        is_newer = view.configuration_lag.record_difference(
-            heartbeat.knowledge,
-            heartbeat.knowledge_age,
-            view.configuration_freshness,
-            now,
-        )
+        lag = view.configuration_lag
+        version = heartbeat.configuration_version
+        if 0 < version < view.version:
+            return
+        if version > view.version:
+            lag.record_later_version(version, heartbeat.knowledge, now)
+            is_newer = True
+        else:
+            is_newer = lag.record_difference(
+                heartbeat.knowledge,
+                heartbeat.knowledge_age,
+                view.configuration_freshness,
+                now,
+            )
         if is_newer:
             self.on_newer_configuration(self.state.peers.peers[heartbeat.host])
 
--- a/egretmill/peers/datagrams.py
+++ b/egretmill/peers/datagrams.py
@@ -54,6 +54,8 @@
     :param shortages: needed and held fraction of the limit, by client account.
     :param loans: fraction lent to the receiver, by client account.
     :param room: capacity of the host in requests per second.
+    :param configuration_version: of the configuration in force, 0 from hosts
+        that do not state it.
     """
 
     host: str
@@ -74,6 +76,7 @@
     upstreams: int = 0
     upstreams_age: float = -1
     limits: dict[str, LimitReport] = {}
+    configuration_version: int = 0
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -4,7 +4,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from result import Err, Result
@@ -110,6 +110,11 @@
     """Ignore a return of the store."""
 
 
+def adopt_nothing(rows: Sequence[StoredRow]) -> RowsByKey:
+    """Return no rows: those of the store hold."""
+    return {}
+
+
 def keep_stored_rows(stored: RowsByKey, known: RowsByKey) -> RowsByKey:
     """Return the rows of the store."""
     return stored
@@ -168,6 +173,10 @@
         self.recovered_at = -1.0
         self.poll_requested = asyncio.Event()
         self.whole_read_requested = False
+        #: Returns the rows of another copy that are newer by their content.
+        self.adopt_rows: Callable[[Sequence[StoredRow]], RowsByKey] = (
+            adopt_nothing
+        )
         #: When to read the whole table, after a return of the store.
         self.settled_at = math.inf
         #: Called when the store has returned from an older copy.
@@ -315,11 +324,18 @@
     ) -> bool:
         """Replace the copy by that of another host if it is newer.
 
+        After a return of the store from an older copy, another host may have
+        rows that were in force before and are newer than those of the store.
+
         :param confirmed_at: boot time at which the other copy was current.
         :param source: name of the other host.
         """
         if snapshot.version <= self.highest_version:
-            return False
+            adopted = self.adopt_rows(snapshot.rows)
+            self.rows.update(adopted)
+            if adopted and self.freshness is not None:
+                self.freshness.replace(confirmed_at, source)
+            return bool(adopted)
         self.apply_rows(snapshot)
         self.listener.confirm_current(confirmed_at, source)
         return True
--- a/tests/host/test_heartbeats.py
+++ b/tests/host/test_heartbeats.py
@@ -105,6 +105,60 @@
     assert reads == [Topic.CONFIGURATION]
 
 
+@pytest.mark.parametrize(
+    ('version', 'is_outdated'), [(2, True), (1, False), (0, False)]
+)
+def test_later_version_of_a_peer_is_newer_whatever_its_age(
+    version, is_outdated
+):
+    """Guards against an older configuration that a restored store confirms."""
+    service, _ = make_service()
+    asked = []
+    service.on_newer_configuration = asked.append
+    state = service.state
+    start = state.now()
+    for tick in range(8):
+        now = start + tick * 0.25
+        state.now = lambda now=now: now
+        state.view.now = state.now
+        state.view.configuration_freshness.confirm(now)
+        heartbeat = matching_heartbeat(
+            service,
+            knowledge=1,
+            knowledge_age=5.0,
+            configuration_version=version,
+            sent_at=now,
+            answers=now - 0.1,
+        )
+        service.handle_heartbeat(heartbeat, ADDRESS)
+    assert bool(asked) is is_outdated
+    assert state.view.is_configuration_outdated() is is_outdated
+    state.apply_configuration(configuration(version=2))
+    assert not state.view.is_configuration_outdated()
+
+
+def test_earlier_version_of_a_peer_is_not_newer_though_confirmed_later():
+    """Guards against refusals for the sake of an older configuration."""
+    service, _ = make_service()
+    state = service.state
+    state.apply_configuration(configuration(version=3))
+    state.view.configuration_freshness.confirmed_at = state.now() - 4
+    for tick in range(8):
+        now = boot_time() + tick * 0.25
+        state.now = lambda now=now: now
+        heartbeat = matching_heartbeat(
+            service,
+            knowledge=1,
+            knowledge_age=0.1,
+            configuration_version=2,
+            sent_at=now,
+            answers=now - 0.1,
+        )
+        service.handle_heartbeat(heartbeat, ADDRESS)
+    state.view.now = state.now
+    assert not state.view.is_configuration_outdated()
+
+
 def test_outdated_peer_causes_no_read():
     """Guards against all hosts reading the store because one is partitioned."""
     service, reads = make_service()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -264,6 +264,34 @@
     run_with_store(scenario)
 
 
+def test_host_that_starts_after_a_return_gets_what_is_in_force():
+    """Guards against a withdrawn key that works at a restarted host."""
+
+    async def scenario(server, operator, start_host):
+        operator.configure(10)
+        host = start_host()
+        await host.read()
+        saved = server.save()
+        operator.configure(12, Tenants=[])
+        await host.read()
+        confirmed_at = host.view.configuration_freshness.confirmed_at
+        server.restore(saved)
+        await host.read()
+        restarted = start_host()
+        await restarted.read()
+        assert restarted.view.version == 10
+        watch = restarted.watches[Topic.CONFIGURATION]
+        copy = host.watches[Topic.CONFIGURATION].snapshot()
+        assert watch.apply_copy(copy, confirmed_at, 'h2')
+        await restarted.read()
+        assert restarted.view.version == 12
+        assert watch.snapshot().rows == copy.rows
+        freshness = restarted.view.configuration_freshness
+        assert freshness.confirmed_at == confirmed_at
+
+    run_with_store(scenario)
+
+
 def test_restarted_host_has_a_higher_incarnation_after_a_restore():
     """Guards against peers that ignore a host for its lower incarnation."""
 
