Treat whatever cannot be decoded as one malformed entry

One odd entry of another writer stopped the hosts that read it: a deeply nested field in a row raised an exception that no handler caught, so that the watch of the table started again and met the row again; a number too large for a message of the hosts stopped the designated readers the same way. A port out of range or a name in place of an address was kept, and failed at each connection or heartbeat, or blocked the host for a look-up. A header with thousands of digits ended its request without an answer.

The errors of decoders have one list, egretmill.decoding, used wherever bytes of others are decoded, also by the agent, the ledger and the command line. Counts, ports, rates, durations and versions have bounds; addresses are IPv4. A malformed entry names no upstream, host or configuration, is logged, and the others hold.

--- a/egretmill/agent/blocks.py
+++ b/egretmill/agent/blocks.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.agent.state import AgentState
 from egretmill.errors import ErrorKind, Failure
 from egretmill.store import StoreClient
@@ -83,7 +84,7 @@
             return ''
         try:
             index = msgspec.json.decode(row.body, type=DeltaIndex)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return ''
         return index.deltas.get(request.base, '')
 
--- a/egretmill/agent/operations.py
+++ b/egretmill/agent/operations.py
@@ -10,6 +10,7 @@
 from tornado import web
 from tornado.httpserver import HTTPServer
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.accounts import digest_key
 from egretmill.document import Environment
 from egretmill.document.promotion import MAX_DOCUMENT_BYTES, Promoter
@@ -204,7 +205,7 @@
         """Decode the JSON body of the request."""
         try:
             return Ok(msgspec.json.decode(self.request.body, type=model))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return Err(Failure(ErrorKind.BAD_REQUEST, str(error)))
 
     def write_error(self, status_code: int, **details: Any) -> None:
--- a/egretmill/cli/client.py
+++ b/egretmill/cli/client.py
@@ -15,6 +15,7 @@
     HTTPResponse,
 )
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.agent.operations import JSON_TYPE
 from egretmill.errors import ErrorKind, Failure, Outcome
 from egretmill.settings import Problem
@@ -190,7 +191,7 @@
     """Decode an error answer into a failure."""
     try:
         body = msgspec.json.decode(response.body, type=ErrorBody)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         body = ErrorBody('', f'{response.code} {response.reason}')
     if body.error in list(ErrorKind):
         return Failure(ErrorKind(body.error), body.detail)
@@ -204,6 +205,6 @@
     """Decode a JSON answer."""
     try:
         return Ok(msgspec.json.decode(response.body, type=kind))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         detail = f'{response.effective_url}: {error}'
         return Err(Failure(ErrorKind.PEER_UNREACHABLE, detail))
--- a/egretmill/document/promotion.py
+++ b/egretmill/document/promotion.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.document.environment import Environment, body_digest
 from egretmill.document.transition import transition_violations
 from egretmill.errors import ErrorKind, Failure
@@ -495,7 +496,7 @@
         return Ok(None)
     try:
         return Ok(msgspec.json.decode(row.body, type=kind))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         detail = f'malformed configuration row: {error}'
         return Err(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
 
--- a/egretmill/entry/probes.py
+++ b/egretmill/entry/probes.py
@@ -5,6 +5,7 @@
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.entry.state import EntryState
 from egretmill.wire.messages import UpstreamRecord
 
@@ -12,6 +13,8 @@
 
 # A report older than 2 s is not used, so two may be lost in a row.
 PROBE_INTERVAL_S = 0.6
+#: Failures of a probe, with those of an answer that is not a load report.
+PROBE_ERRORS = (HTTPError, OSError, *DECODE_ERRORS)
 PROBE_TIMEOUT_S = 0.5
 MAX_PROBES_AT_ONCE = 16
 
@@ -61,7 +64,7 @@
                 request_timeout=PROBE_TIMEOUT_S,
             )
             report = msgspec.json.decode(answer.body, type=LoadReport)
-        except (HTTPError, OSError, msgspec.DecodeError):
+        except PROBE_ERRORS:
             self.state.metrics.count('probe.failed')
             return
         self.state.table.record_report(
--- a/egretmill/entry/request.py
+++ b/egretmill/entry/request.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders, HTTPServerRequest
 
+from egretmill.decoding import parse_count
 from egretmill.document import ClientAccount, Environment, Route
 from egretmill.entry import headers as header_names
 from egretmill.errors import ErrorKind, Failure
@@ -114,9 +115,9 @@
             return Err(Failure(ErrorKind.BAD_REQUEST, detail))
         return Ok(None)
     text = headers.get('Content-Length', '0')
-    if not (text.isascii() and text.isdigit()):
+    size = parse_count(text.encode())
+    if size is None:
         return Err(Failure(ErrorKind.BAD_REQUEST, 'bad Content-Length'))
-    size = int(text)
     if size > route.max_body_bytes:
         limit = f'{size} bytes, at most {route.max_body_bytes}'
         return Err(Failure(ErrorKind.BODY_TOO_LARGE, limit))
@@ -128,10 +129,11 @@
     text = headers.get(header_names.DEADLINE)
     if text is None:
         return Ok(route.time_limit_ms)
-    if not (text.isascii() and text.isdigit() and int(text) > 0):
+    limit_ms = parse_count(text.encode())
+    if not limit_ms:
         detail = f'{header_names.DEADLINE} must be a positive integer'
         return Err(Failure(ErrorKind.BAD_REQUEST, detail))
-    return Ok(min(int(text), route.time_limit_ms))
+    return Ok(min(limit_ms, route.time_limit_ms))
 
 
 def request_id_of(headers: HTTPHeaders) -> str:
--- a/egretmill/host/attempt_result.py
+++ b/egretmill/host/attempt_result.py
@@ -4,6 +4,7 @@
 
 from result import Err, Result
 
+from egretmill.decoding import parse_count
 from egretmill.errors import ErrorKind, Failure
 from egretmill.fleet.configuration import Route
 from egretmill.host.answers import Refusal
@@ -134,11 +135,10 @@
     """Parse ``running,waiting,slots``; return ``None`` when malformed."""
     if text is None:
         return None
-    parts = text.split(b',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = [parse_count(part) for part in text.split(b',')]
+    if len(counts) != 3 or None in counts:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running, waiting, slots)
+    return LoadReport(*counts)
 
 
 def _classify_success(
--- a/egretmill/host/request_check.py
+++ b/egretmill/host/request_check.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from egretmill.decoding import parse_count
 from egretmill.errors import ErrorKind, Failure
 from egretmill.fleet.configuration import (
     ClientAccount,
@@ -181,7 +182,7 @@
 def _request_timeout_s(
     head: RequestHead, route: Route, dialect: Dialect
 ) -> float:
-    requested = head.fields.get(dialect.deadline_ms, b'')
-    if not requested.isdigit():
+    requested_ms = parse_count(head.fields.get(dialect.deadline_ms, b''))
+    if requested_ms is None:
         return route.timeout_s
-    return min(int(requested) / 1000, route.timeout_s)
+    return min(requested_ms / 1000, route.timeout_s)
--- a/egretmill/host/roster_table.py
+++ b/egretmill/host/roster_table.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import dataclasses
+from typing import Annotated
 
 import msgspec
 
 from egretmill import events
+from egretmill.decoding import DECODE_ERRORS, Port, parse_ipv4
 from egretmill.fleet.freshness import STORE_SOURCE
 from egretmill.host.capacity import find_large
 from egretmill.host.state import HostState
@@ -16,6 +18,9 @@
 __all__ = ('ROSTER_TABLE', 'RosterEntry', 'RosterRow', 'RosterTable')
 
 ROSTER_TABLE = 'egretmill-roster'
+#: Requests per second; far more than a host can serve.
+MAX_CAPACITY_PER_S = 1e9
+CapacityPerS = Annotated[float, msgspec.Meta(ge=0, le=MAX_CAPACITY_PER_S)]
 
 
 class RosterEntry(msgspec.Struct, frozen=True):
@@ -28,10 +33,10 @@
     """
 
     address: str
-    port: int
+    port: Port
     suspected: bool = False
     known_by_all: bool = False
-    capacity_per_s: float = 0
+    capacity_per_s: CapacityPerS = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -133,7 +138,8 @@
         """Decode and store an entry; a malformed one is treated as missing."""
         try:
             entry = msgspec.json.decode(row.content, type=RosterEntry)
-        except msgspec.MsgspecError as error:
+            parse_ipv4(entry.address)
+        except DECODE_ERRORS as error:
             self.rows.pop(row.key, None)
             log_event(
                 events.CATALOGUE.ROW_MALFORMED,
--- a/egretmill/host/settings.py
+++ b/egretmill/host/settings.py
@@ -1,12 +1,16 @@
 """Settings of a host, independent of the platform; times in seconds."""
 
 import dataclasses
+import re
 from collections.abc import Mapping
 
 from egretmill.host.capacity import Capacity
 
 __all__ = ('Bounds', 'Endpoint', 'HostSettings')
 
+MAX_PORT = 65535
+PORT = re.compile(r'[0-9]{1,5}')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -24,6 +28,8 @@
         address, _, port = text.rpartition(':')
         if not address:
             raise ValueError(f'{text!r} is not address:port')
+        if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f'{text!r} has no port from 1 to {MAX_PORT}')
         return cls(address, int(port))
 
     def __str__(self) -> str:
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from egretmill.decoding import parse_count
 from egretmill.http1.messages import (
     LINE_END,
     Body,
@@ -193,7 +194,7 @@
         if self.call is None or not self.call.body.complete:
             # The upstream would parse the rest of the body as a request.
             self.reusable = False
-        self.keep_alive_s = _keep_alive_s(response)
+        self.keep_alive_s = keep_alive_s(response)
         self.waiter.set_result(Ok(response))
 
     def time_out_call(self) -> None:
@@ -302,11 +303,10 @@
     return b'%x\r\n%b\r\n' % (len(chunk), chunk)
 
 
-def _keep_alive_s(response: Response) -> float | None:
+def keep_alive_s(response: Response) -> float | None:
     """Return the timeout of the upstream's ``Keep-Alive`` header, if any."""
-    text = response.fields.get(b'keep-alive', b'').decode('latin-1')
-    for parameter in text.split(','):
-        name, _, seconds_text = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and seconds_text.isdigit():
-            return float(seconds_text)
+    for parameter in response.fields.get(b'keep-alive', b'').split(b','):
+        name, _, seconds_text = parameter.strip().partition(b'=')
+        if name.lower() == b'timeout':
+            return parse_count(seconds_text)
     return None
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -8,6 +8,7 @@
 import dataclasses
 from typing import Any, Protocol
 
+from egretmill.decoding import parse_count
 from egretmill.http1.messages import (
     Body,
     RequestHead,
@@ -237,7 +238,9 @@
         pending = PendingAnswer(self, head, Body(self.resume_reading))
         pending.keep_alive = keep_alive
         length = head.fields.get(b'content-length', b'0')
-        if length.isdigit() and int(length) > self.handler.limits.body_bytes:
+        length_bytes = parse_count(length)
+        limit_bytes = self.handler.limits.body_bytes
+        if length_bytes is not None and length_bytes > limit_bytes:
             self.reject(HTTP_CONTENT_TOO_LARGE, 'body too long')
             return
         self.receiving = pending
--- a/egretmill/ledger/claims.py
+++ b/egretmill/ledger/claims.py
@@ -20,6 +20,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.errors import ErrorKind, Failure
 from egretmill.store.ports import Row
 from egretmill.wire.messages import (
@@ -203,5 +204,5 @@
     """Decode the body of a row; a malformed one is ``internal``."""
     try:
         return Ok(msgspec.json.decode(body, type=ClaimRow))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Err(Failure(ErrorKind.INTERNAL, str(error)))
--- a/egretmill/lookup/blocks_file.py
+++ b/egretmill/lookup/blocks_file.py
@@ -15,6 +15,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.errors import ErrorKind, Failure
 from egretmill.lookup.blocks import MAX_SITES, ClientBlocks
 from egretmill.lookup.ranges import NO_SITE, RangeMap, Segments
@@ -129,7 +130,7 @@
         """Decode one frame and add its content."""
         try:
             message = DECODER.decode(body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return damaged_file_error(str(error))
         if isinstance(message, Header):
             return self.read_header(message)
--- a/egretmill/membership/slots.py
+++ b/egretmill/membership/slots.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.document.model import Document
 from egretmill.errors import ErrorKind, Failure
 
@@ -218,5 +219,5 @@
     """Decode the body of a row; a malformed one is ``internal``."""
     try:
         return Ok(msgspec.json.decode(body, type=SlotRow))
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Err(Failure(ErrorKind.INTERNAL, str(error)))
--- a/egretmill/peers/copies.py
+++ b/egretmill/peers/copies.py
@@ -3,6 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.tables.ports import Snapshot, StoredRow
 
 __all__ = ('TableCopy', 'decode_copy', 'encode_copy')
@@ -60,5 +61,5 @@
     """Decode a copy; a damaged one is an error."""
     try:
         return Ok(DECODER.decode(body))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
--- a/egretmill/peers/datagrams.py
+++ b/egretmill/peers/datagrams.py
@@ -1,8 +1,12 @@
 """Datagrams that hosts send each other (msgpack, fields without names)."""
 
+import itertools
+import math
+
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.errors import ErrorKind, Failure
 from egretmill.fleet.upstreams import Removal, Upstream
 
@@ -147,6 +151,31 @@
 def decode_datagram(datagram: bytes) -> Result[Datagram, Failure]:
     """Decode a datagram; a damaged one or an unknown type is an error."""
     try:
-        return Ok(DECODER.decode(datagram))
-    except msgspec.MsgspecError as error:
+        decoded = DECODER.decode(datagram)
+    except DECODE_ERRORS as error:
         return Err(Failure(ErrorKind.MALFORMED_FRAME, str(error)))
+    if isinstance(decoded, Heartbeat) and _has_nan(decoded):
+        return Err(Failure(ErrorKind.MALFORMED_FRAME, 'not a number'))
+    return Ok(decoded)
+
+
+def _has_nan(heartbeat: Heartbeat) -> bool:
+    """Return whether a value of a heartbeat is not a number."""
+    limits = heartbeat.limits.values()
+    return any(
+        map(
+            math.isnan,
+            (
+                heartbeat.sent_at,
+                heartbeat.answers,
+                heartbeat.knowledge_age,
+                heartbeat.roster_age,
+                heartbeat.upstreams_age,
+                heartbeat.room,
+                *heartbeat.loans.values(),
+                *itertools.chain.from_iterable(heartbeat.shortages.values()),
+                *(limit.age_s for limit in limits),
+                *(limit.rate_per_s or 0 for limit in limits),
+            ),
+        )
+    )
--- a/egretmill/settings/durations.py
+++ b/egretmill/settings/durations.py
@@ -4,7 +4,7 @@
 
 __all__ = ('parse_duration',)
 
-DURATION = re.compile(r'(?P<amount>\d+(?:\.\d+)?)(?P<unit>ms|s)')
+DURATION = re.compile(r'(?P<amount>\d{1,12}(?:\.\d{1,12})?)(?P<unit>ms|s)')
 MS_PER_S = 1000
 
 
--- a/egretmill/steer/blocks.py
+++ b/egretmill/steer/blocks.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill import events
 from egretmill.errors import ErrorKind, Failure
 from egretmill.logs import log_event
@@ -93,7 +94,7 @@
             body += part.ok_value.part
         try:
             delta = msgspec.msgpack.decode(body, type=Delta)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return malformed_answer_error(str(error))
         if (delta.base, delta.digest) != (base, digest):
             return malformed_answer_error(
--- a/egretmill/store/http.py
+++ b/egretmill/store/http.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.document.environment import body_digest
 from egretmill.errors import ErrorKind, Failure
 from egretmill.settings import PlatformSettings
@@ -208,7 +209,7 @@
     """Decode a JSON answer; a malformed one counts as an outage."""
     try:
         return Ok(msgspec.json.decode(body, type=kind))
-    except (msgspec.DecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return unavailable(f'malformed answer: {error}')
 
 
--- a/egretmill/wire/client.py
+++ b/egretmill/wire/client.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 
-import msgspec
 import pynng
 from result import Err, Ok, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill.errors import ErrorKind, Failure
 from egretmill.wire import messages
 
@@ -105,7 +105,7 @@
     """Decode an answer and turn error replies into failures."""
     try:
         reply = messages.decode(frame)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return Err(Failure(ErrorKind.MALFORMED_FRAME, str(error)))
     if isinstance(reply, messages.ErrorReply):
         return Err(Failure(ErrorKind(reply.kind), reply.detail))
--- a/egretmill/wire/server.py
+++ b/egretmill/wire/server.py
@@ -4,10 +4,10 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import pynng
 from result import Err, Result
 
+from egretmill.decoding import DECODE_ERRORS
 from egretmill import events
 from egretmill.errors import ErrorKind, Failure
 from egretmill.logs import log_event
@@ -73,7 +73,7 @@
         """Decode a frame, process its message and return the answer."""
         try:
             message = messages.decode(frame)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self.metrics.count('wire.malformed_frame')
             log_event(events.CATALOGUE.MALFORMED_FRAME, reason=str(error))
             kind = ErrorKind.MALFORMED_FRAME
