--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 from adapter.store import PlatformStore
@@ -40,12 +41,15 @@
     return encode(CONFIGURATION, Version=f'{version:08x}', **changes)
 
 
+HOST_SETTINGS = dataclasses.replace(SETTINGS, peer_port=7740)
+
+
 class Host:
     """A host with its watches, which the test drives."""
 
     def __init__(self, endpoint):
         self.store = PlatformStore(endpoint, HostMetrics())
-        self.state = HostState.from_settings(SETTINGS, DIALECT)
+        self.state = HostState.from_settings(HOST_SETTINGS, DIALECT)
         self.updater = StateUpdater(self.state)
         self.keeper = RosterKeeper(self.state, self.store)
         self.watches = {
