Send an upstream nothing during a pause that it asks for

An upstream that turns a request away with 503 may add Retry-After: it wants nothing from this host for so long.

Placement treats the upstream as full until the end, sends two requests then, and more once one of them is answered. A request that has no other place is refused at once with the time of the first end. A pause outlasts a lapse of the entry, and belongs to one incarnation.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -163,6 +163,18 @@
         logging.WARNING,
         'The store has returned from an older copy; later writes are lost.',
     )
+    UPSTREAM_LEAVING = Event(
+        223,
+        'upstream_leaving',
+        logging.INFO,
+        'An upstream said in an answer to this host or a peer that it leaves.',
+    )
+    UPSTREAM_PAUSED = Event(
+        224,
+        'upstream_paused',
+        logging.INFO,
+        'An upstream has asked this host to send nothing for a time.',
+    )
     STORE_CALL_FAILED = Event(
         214,
         'store_call_failed',
--- a/egretmill/host/attempt_result.py
+++ b/egretmill/host/attempt_result.py
@@ -21,6 +21,7 @@
 HTTP_REDIRECT = 300
 HTTP_MISDIRECTED = 421
 HTTP_SERVER_ERROR = 500
+HTTP_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +37,8 @@
     :param load_report: load that the upstream stated in its response.
     :param stated_rate: what the response says of the upstream's limit;
         ``None`` if it says nothing of it.
+    :param is_leaving: the response says that the upstream is leaving.
+    :param pause_s: pause that the response asks for, 0 for none.
     :param maybe_run: the upstream may have run the request.
     :param handled: the upstream has handled the request's object.
     """
@@ -47,6 +50,8 @@
     refusal: Refusal | None = None
     load_report: LoadReport | None = None
     stated_rate: StatedRate | None = None
+    is_leaving: bool = False
+    pause_s: float = 0
     maybe_run: bool = False
     handled: bool = False
 
@@ -77,9 +82,30 @@
     return dataclasses.replace(
         _classify_response(response, dialect, route),
         stated_rate=parse_stated_rate(response, dialect),
+        is_leaving=parse_leaving(response, dialect),
+        pause_s=parse_pause(response, dialect),
     )
 
 
+def parse_leaving(response: Response, dialect: Dialect) -> bool:
+    """Return whether a response says that its upstream is leaving.
+
+    A misdirected request was answered by another upstream.
+    """
+    text = response.fields.get(dialect.leaving)
+    if text is None or response.status == HTTP_MISDIRECTED:
+        return False
+    return dialect.decode_leaving(text)
+
+
+def parse_pause(response: Response, dialect: Dialect) -> float:
+    """Return the pause that a response asks for, 0 for none."""
+    text = response.fields.get(dialect.pause)
+    if text is None or response.status != HTTP_UNAVAILABLE:
+        return 0
+    return dialect.decode_pause(text) or 0
+
+
 def parse_stated_rate(
     response: Response, dialect: Dialect
 ) -> StatedRate | None:
--- a/egretmill/host/dialect.py
+++ b/egretmill/host/dialect.py
@@ -22,6 +22,12 @@
     :param rate_limit: requests per second that the upstream takes from all
         hosts together, while it is in need.
     :param decode_rate: decodes that header; ``None`` when it is malformed.
+    :param leaving: says in any answer that the upstream is leaving.
+    :param decode_leaving: decodes that header.
+    :param pause: pause that an upstream asks of this host when it is
+        unavailable.
+    :param decode_pause: decodes that header into seconds; ``None`` when it is
+        malformed.
     :param not_run: present when the upstream has not run the request.
     :param statuses: statuses of this host's answers by kind of error, where
         they differ from the defaults.
@@ -37,6 +43,10 @@
     rate_limit: bytes
     decode_rate: Callable[[bytes], float | None]
     not_run: bytes
+    leaving: bytes
+    decode_leaving: Callable[[bytes], bool]
+    pause: bytes
+    decode_pause: Callable[[bytes], float | None]
     statuses: Mapping[ErrorKind, int] = dataclasses.field(default_factory=dict)
 
     def status(self, kind: ErrorKind) -> int:
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -8,6 +8,7 @@
 from egretmill import events
 from egretmill.errors import ErrorKind, Failure
 from egretmill.fleet.configuration import RouteKind
+from egretmill.fleet.upstreams import Upstream
 from egretmill.host import headers
 from egretmill.host.answers import Refusal
 from egretmill.host.request_check import AcceptedRequest
@@ -202,6 +203,7 @@
         """Send the request to an upstream and record the result."""
         state = self.state
         load = selected.load
+        record = load.record
         started_at = state.now()
         load.begin(started_at, self.accepted.object_key)
         attempt_result = AttemptResult.cancelled()
@@ -233,6 +235,7 @@
             state.limits_of_upstreams.record_answer(
                 load, attempt_result.stated_rate, now
             )
+        _record_requests_of_upstream(state, record, attempt_result, now)
         if attempt_result.handled:
             _record_latency(self, selected, now - self.sent_at)
         self.maybe_run = self.maybe_run or attempt_result.maybe_run
@@ -259,7 +262,7 @@
             self.state.pool.release(selected.load, connection)
             self.retry_reserved = self.attempts > 0
             return Err(
-                CallFailure(FailureCause.CANCELLED, False, 'upstream has left')
+                CallFailure(FailureCause.CANCELLED, False, 'no longer eligible')
             )
         self.attempts += 1
         self.tried.add(record.name)
@@ -388,6 +391,20 @@
     )
 
 
+def _record_requests_of_upstream(
+    state: HostState,
+    record: Upstream,
+    attempt_result: AttemptResult,
+    now: float,
+) -> None:
+    """Record that an upstream asks for no more requests, or for a pause."""
+    if attempt_result.is_leaving:
+        state.on_leaving(record)
+    if attempt_result.pause_s:
+        state.pool.pauses.record(record, attempt_result.pause_s, now)
+        state.metrics.pauses.labels(record.service).inc()
+
+
 def _attempt_headers(
     exchange: Exchange, upstream: str, now: float
 ) -> list[Header]:
--- a/egretmill/host/metrics.py
+++ b/egretmill/host/metrics.py
@@ -57,6 +57,16 @@
             'Rows of the store that could not be used.',
             ('table',),
         )
+        self.leaving = self._counter(
+            'upstreams_leaving',
+            'Upstreams that said in an answer that they leave.',
+            ('service',),
+        )
+        self.pauses = self._counter(
+            'upstream_pauses',
+            'Pauses that upstreams asked of this host.',
+            ('service',),
+        )
         self.log_lines_suppressed = self._counter(
             'log_lines_suppressed',
             'Log lines over the bound of the volume.',
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -40,6 +40,10 @@
 ROSTER_DIGESTS_CACHE_SIZE = 8
 
 
+def ignore_upstream(upstream: Upstream) -> None:
+    """Ignore an upstream."""
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class HostState:
     """State of one host process, with its components.
@@ -67,6 +71,8 @@
     incarnation: int = 0
     suspects: frozenset[str] = frozenset()
     leaving: bool = False
+    #: Called with the record of an upstream that says that it is leaving.
+    on_leaving: Callable[[Upstream], None] = ignore_upstream
     limits: ConnectionLimits = ConnectionLimits()
     now: Callable[[], float] = boot_time
 
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -7,6 +7,7 @@
 from egretmill.fleet.configuration import Service
 from egretmill.fleet.view import FleetView
 from egretmill.fleet.upstreams import Upstream
+from egretmill.host.upstream_pauses import UpstreamPauses
 from egretmill.http1 import (
     BufferBudget,
     CallFailure,
@@ -49,6 +50,7 @@
         self.region = region
         self.loads: dict[str, UpstreamLoad] = {}
         self.services: Mapping[str, Service] = {}
+        self.pauses = UpstreamPauses(self.loads)
         self.idle: dict[str, IdleConnections] = {}
         self.cached_orders: dict[OrderKey, tuple[UpstreamLoad, ...]] = {}
         self.generation = -1
@@ -61,6 +63,7 @@
         if load is None:
             load = UpstreamLoad(upstream)
             self.loads[upstream.name] = load
+            load.pause = self.pauses.take(upstream)
         elif load.record.identity != upstream.identity:
             load.restart(upstream)
             self.close_idle(upstream.name)
@@ -73,7 +76,9 @@
 
     def remove(self, upstream: Upstream) -> None:
         """Remove an upstream that is no longer registered."""
-        self.loads.pop(upstream.name, None)
+        load = self.loads.pop(upstream.name, None)
+        if load is not None:
+            self.pauses.keep(upstream, load.pause, self.view.now())
         self.close_idle(upstream.name)
 
     def readmit(self, domain: str, now: float) -> None:
@@ -135,6 +140,7 @@
             self.loads.get(record.name) is load
             and not record.is_leaving
             and record.failure_domain not in self.view.evacuated
+            and not load.pause.wait_s(self.view.now())
         )
 
     async def acquire(
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -181,14 +181,18 @@
     def _make_rejection(
         self, order: Sequence[UpstreamLoad]
     ) -> NoCapacity | NoUpstream:
+        paused = [load for load in order if not load.pause.can_send(self.now)]
         full = [load for load in order if self._is_full(load)]
         backing_off = [load for load in order if self.now < load.backoff_until]
         cold = [load for load in order if load.slow_start.is_cold(self.now)]
-        if full or backing_off or cold:
+        if any(load not in paused for load in (*full, *backing_off, *cold)):
             return NoCapacity(self.service_times.warm_s)
         limited = [load.stated_limit for load in order if load.is_limited]
-        if limited:
-            waits_s = (limit.wait_s(self.now) for limit in limited)
+        if limited or paused:
+            waits_s = (
+                *(limit.wait_s(self.now) for limit in limited),
+                *(load.pause.wait_s(self.now) for load in paused),
+            )
             return NoCapacity(
                 min(filter(None, waits_s), default=self.service_times.warm_s)
             )
--- a/egretmill/placement/load.py
+++ b/egretmill/placement/load.py
@@ -8,6 +8,7 @@
 from egretmill.placement.slow_start import SlowStartLimit
 from egretmill.placement.health import MAX_BACKOFF_S, Health
 from egretmill.placement.observations import ObservationKind
+from egretmill.placement.pause import Pause
 from egretmill.placement.stated_limit import StatedLimit
 
 __all__ = ('LoadReport', 'UpstreamLoad')
@@ -73,6 +74,7 @@
     :param connection_failed: whether the last failure occurred before
         anything was sent.
     :param stated_limit: limit that the upstream states for all hosts.
+    :param pause: pause that the upstream asks of this host.
     :param warm_objects: time of the last request by object, oldest first.
     """
 
@@ -92,6 +94,7 @@
         default_factory=SlowStartLimit
     )
     stated_limit: StatedLimit = dataclasses.field(default_factory=StatedLimit)
+    pause: Pause = dataclasses.field(default_factory=Pause)
     warm_objects: 'collections.OrderedDict[str, float]' = dataclasses.field(
         default_factory=collections.OrderedDict,
     )
@@ -123,7 +126,7 @@
         """
         if now < self.backoff_until or not self.slow_start.can_send(now):
             return False
-        if not self.stated_limit.can_send(now):
+        if not self.stated_limit.can_send(now) or not self.pause.can_send(now):
             return False
         # If the connection fails again, nothing of the request is sent.
         can_probe = idempotent or self.connection_failed
@@ -155,6 +158,7 @@
         self.in_flight += 1
         self.slow_start.record_request(now)
         self.stated_limit.record_request(now)
+        self.pause.record_request()
         self.health.begin()
 
     def finish(
@@ -175,6 +179,8 @@
             if the upstream has responded to other requests since then.
         """
         self.in_flight = max(self.in_flight - 1, 0)
+        is_answered = kind in {ObservationKind.OK, ObservationKind.SHED}
+        self.pause.record_end(sent_at, is_answered=is_answered)
         match kind:
             case ObservationKind.OK:
                 self.last_response_at = now
@@ -229,6 +235,7 @@
         self.suspected_cold_at_report = 0
         self.health = _make_health()
         self.stated_limit = StatedLimit()
+        self.pause = Pause()
         self.warm_objects.clear()
 
     def _mark_warm(self, object_key: str, now: float) -> None:
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -28,6 +28,10 @@
     b'x-rate-limit',
     float,
     b'x-not-run',
+    b'x-leaving',
+    b'1'.__eq__,
+    b'retry-after',
+    float,
 )
 LOCAL = Endpoint('127.0.0.1', 0)
 SETTINGS = HostSettings(
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -345,8 +345,14 @@
     state.view.apply_evacuations(frozenset((record.failure_domain,)))
 
 
+def ask_for_pause(state, record):
+    """Ask for a pause in the answer to another request."""
+    state.pool.pauses.record(record, 5, state.now())
+
+
 @pytest.mark.parametrize(
-    'take_away', [leave_service, drop_registration, evacuate_domain]
+    'take_away',
+    [leave_service, drop_registration, evacuate_domain, ask_for_pause],
 )
 @pytest.mark.parametrize('path', [b'/r/1', b'/o/1'])
 def test_upstream_that_leaves_while_the_host_connects_gets_no_request(
