Send an upstream nothing after an answer which says that it leaves

A leaving upstream says so in all its answers, with Server-Leaving: 1. The header was not decoded; a host that the store did not tell went on sending (DRAIN, which holds for it also when it is cut off).

From the first such answer, the record of that incarnation is a leaving one in the list of upstreams, whatever later reports of the store or of peers say, and also after its entry has lapsed and returned. A new start under the name and another upstream at the address are not bound. Requests under way end normally.

--- a/egretmill/fleet/upstreams.py
+++ b/egretmill/fleet/upstreams.py
@@ -63,16 +63,28 @@
 
     :param version: store version as of which it was not registered, 0 if it
         is not known.
+    :param is_leaving: this incarnation has said that it is leaving.
     """
 
     incarnation: int
     beat: int
     version: int = 0
+    is_leaving: bool = False
 
     @classmethod
     def of(cls, upstream: Upstream, version: int) -> 'Removal':
         """Return the removal of an upstream as of a store version."""
-        return cls(upstream.incarnation, upstream.beat, version)
+        return cls(
+            upstream.incarnation, upstream.beat, version, upstream.is_leaving
+        )
+
+    def merged_with(self, known: 'Removal') -> 'Removal':
+        """Return the newer of two removals, with what either says."""
+        newest = known if self.precedes(known) else self
+        if self.incarnation != known.incarnation:
+            return newest
+        is_leaving = self.is_leaving or known.is_leaving
+        return dataclasses.replace(newest, is_leaving=is_leaving)
 
     def precedes(self, other: 'Upstream | Removal') -> bool:
         """Return whether a record or another removal is newer.
@@ -131,6 +143,7 @@
         current = self.by_name.get(upstream.name)
         if not self.accepts(upstream):
             return current
+        upstream = self.keep_leaving(upstream)
         self.removals.pop(upstream.name, None)
         self.by_name[upstream.name] = upstream
         if current is None or _fingerprint(current) != _fingerprint(upstream):
@@ -143,6 +156,42 @@
             )
         return current
 
+    def keep_leaving(self, upstream: Upstream) -> Upstream:
+        """Return a record with what its incarnation has said of its leaving.
+
+        It does not take that back, whatever the store or other hosts report.
+        """
+        known = self.by_name.get(upstream.name) or self.removals.get(
+            upstream.name
+        )
+        if known is None or known.incarnation != upstream.incarnation:
+            return upstream
+        if not known.is_leaving or upstream.is_leaving:
+            return upstream
+        return dataclasses.replace(upstream, state=UpstreamState.LEAVING)
+
+    def record_leaving(self, name: str, incarnation: int) -> Upstream | None:
+        """Record that an incarnation has said that it is leaving.
+
+        :return: its record before, if that is registered and not leaving yet.
+        """
+        current = self.by_name.get(name)
+        if current is not None and current.incarnation == incarnation:
+            if current.is_leaving:
+                return None
+            self.put(dataclasses.replace(current, state=UpstreamState.LEAVING))
+            return current
+        removal = self.removals.get(name)
+        if current is None and (
+            removal is None or removal.incarnation <= incarnation
+        ):
+            beat = removal.beat if removal else 0
+            version = removal.version if removal else 0
+            self.record_removal(
+                name, Removal(incarnation, beat, version, is_leaving=True)
+            )
+        return None
+
     def remove(self, name: str, version: int = 0) -> Upstream | None:
         """Remove an upstream that is no longer registered.
 
@@ -158,8 +207,8 @@
     def record_removal(self, name: str, removal: Removal) -> None:
         """Remember the newest removal of an upstream."""
         known = self.removals.pop(name, None)
-        if known is not None and removal.precedes(known):
-            removal = known
+        if known is not None:
+            removal = removal.merged_with(known)
         self.removals[name] = removal
         if len(self.removals) > MAX_REMOVALS:
             self.removals.pop(next(iter(self.removals)))
@@ -219,8 +268,6 @@
 def _is_outdated(upstream: Upstream, current: Upstream) -> bool:
     if upstream.incarnation != current.incarnation:
         return upstream.incarnation < current.incarnation
-    if current.is_leaving and not upstream.is_leaving:
-        return True
     if upstream.beat != current.beat:
         return upstream.beat < current.beat
     return upstream.version < current.version
--- a/egretmill/fleet/view.py
+++ b/egretmill/fleet/view.py
@@ -78,9 +78,21 @@
         is_accepted = self.upstreams.accepts(upstream)
         previous = self.upstreams.put(upstream)
         if is_accepted:
-            self.on_upstream(upstream, previous)
+            self.on_upstream(self.upstreams.by_name[upstream.name], previous)
         return previous
 
+    def record_leaving(self, name: str, incarnation: int) -> Upstream | None:
+        """Record that an upstream is leaving; return its new record.
+
+        :return: ``None`` if it is not registered, or known to be leaving.
+        """
+        previous = self.upstreams.record_leaving(name, incarnation)
+        if previous is None:
+            return None
+        record = self.upstreams.by_name[name]
+        self.on_upstream(record, previous)
+        return record
+
     def configuration_age_s(self) -> float:
         """Return the greatest possible age of the API keys, in seconds."""
         return self.configuration_freshness.age(self.now())
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -19,6 +19,7 @@
 from egretmill.peers.datagrams import (
     Heartbeat,
     Datagram,
+    LeavingUpstream,
     TokenResponse,
     TokenRequest,
     UpstreamChanges,
@@ -44,6 +45,10 @@
     """Ignore a peer with a newer configuration."""
 
 
+def ignore_leaving(upstream: LeavingUpstream, address: tuple[str, int]) -> None:
+    """Ignore an upstream that leaves."""
+
+
 def ignore_topic(topic: Topic) -> None:
     """Ignore a difference."""
 
@@ -69,6 +74,10 @@
         #: Called with a peer that has a newer configuration.
         self.on_newer_configuration: Callable[[Peer], None] = ignore_peer
         #: Called with a topic for which the whole table is to be read.
+        #: Called with an upstream that has told a peer that it is leaving.
+        self.on_leaving: Callable[[LeavingUpstream, tuple[str, int]], None] = (
+            ignore_leaving
+        )
         self.on_lasting_difference: Callable[[Topic], None] = ignore_topic
         self.tokens = state.tokens
         self.link: PeerLink | None = None
@@ -115,15 +124,20 @@
         self.state.update_retry_allowance()
         self.copy_log.log_if_due(now)
 
+    def broadcast(self, datagram: Datagram) -> None:
+        """Send a datagram to all peers at once."""
+        if self.link is None:
+            return
+        for peer in self.state.peers.peers.values():
+            self.link.send(datagram, peer.address)
+
     def broadcast_changes(self, buffer: ChangeBuffer) -> None:
         """Send changes to all peers at once, from a designated reader only."""
         if not self.state.is_designated_reader():
             buffer.clear()
             return
         for changes in buffer.drain():
-            for peer in self.state.peers.peers.values():
-                if self.link is not None:
-                    self.link.send(changes, peer.address)
+            self.broadcast(changes)
         previous_digest = self.read_policy.digests.get(Topic.CONFIGURATION)
         digests = self.read_policy.update_own_digests()
         if previous_digest != digests[Topic.CONFIGURATION]:
@@ -223,6 +237,8 @@
                 self.tokens.handle_response(response)
             case UpstreamChanges() as changes:
                 self.on_changes(changes)
+            case LeavingUpstream() as leaving:
+                self.on_leaving(leaving, address)
 
     def handle_heartbeat(
         self, heartbeat: Heartbeat, address: tuple[str, int]
@@ -244,7 +260,7 @@
         state.limits_of_upstreams.apply_announcements(
             heartbeat.limits, heartbeat.host, now
         )
-        self.activate_share(now)
+        _activate_share(state, now)
 
     def reply_if_reader(self, peer: Peer, now: float) -> None:
         """Reply to a heartbeat at once if this host is a designated reader.
@@ -326,20 +342,6 @@
         if is_newer:
             self.on_newer_configuration(self.state.peers.peers[heartbeat.host])
 
-    def activate_share(self, now: float) -> None:
-        """Activate the own share once every member has the current roster."""
-        share = self.state.share
-        if now >= share.active_at or share.host not in share.members:
-            return
-        digest = self.state.digest(Topic.ROSTER)
-        for name in share.members - {share.host}:
-            peer = self.state.peers.peers.get(name)
-            if peer is None or peer.heartbeat is None:
-                return
-            if peer.heartbeat.roster != digest:
-                return
-        share.record_known_by_all(now)
-
     def update_reader_role(self) -> None:
         """Update whether this host is a designated reader; log a change."""
         is_reader = self.state.is_designated_reader()
@@ -365,3 +367,18 @@
         age_s = self.state.view.configuration_age_s()
         self.state.metrics.configuration_age.set(age_s)
         self.state.metrics.share.set(self.state.share.fraction(now))
+
+
+def _activate_share(state: HostState, now: float) -> None:
+    """Activate the own share once every member has the current roster."""
+    share = state.share
+    if now >= share.active_at or share.host not in share.members:
+        return
+    digest = state.digest(Topic.ROSTER)
+    for name in share.members - {share.host}:
+        peer = state.peers.peers.get(name)
+        if peer is None or peer.heartbeat is None:
+            return
+        if peer.heartbeat.roster != digest:
+            return
+    share.record_known_by_all(now)
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -114,6 +114,8 @@
             state, self.trigger_read, self.updater.apply_changes
         )
         self.updater.on_read = self.heartbeats.broadcast_changes
+        self.updater.on_leaving = self.heartbeats.broadcast
+        self.heartbeats.on_leaving = self.updater.record_peer_answer
         self.watches = {
             **adapter.watches(self.updater),
             Topic.ROSTER: TableWatch(
--- a/egretmill/host/state_updater.py
+++ b/egretmill/host/state_updater.py
@@ -10,7 +10,11 @@
 from egretmill.host.upstream_changes import ChangeBuffer
 from egretmill.host.state import HostState
 from egretmill.logs import log_event
-from egretmill.peers.datagrams import RemovedUpstream, UpstreamChanges
+from egretmill.peers.datagrams import (
+    LeavingUpstream,
+    RemovedUpstream,
+    UpstreamChanges,
+)
 
 __all__ = ('StateUpdater',)
 
@@ -23,6 +27,10 @@
     """Ignore the changes."""
 
 
+def ignore_leaving(upstream: LeavingUpstream) -> None:
+    """Ignore an upstream that leaves."""
+
+
 class StateUpdater:
     """Applies configuration, evacuations and upstreams to the host's state."""
 
@@ -34,6 +42,9 @@
         self.outgoing_changes = ChangeBuffer(state.settings.name)
         #: Called after each response of the store.
         self.on_read: Callable[[ChangeBuffer], None] = ignore_changes
+        #: Called when an answer to this host says that its sender leaves.
+        self.on_leaving: Callable[[LeavingUpstream], None] = ignore_leaving
+        state.on_leaving = self.record_own_answer
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a version of the configuration."""
@@ -95,6 +106,7 @@
         timer = self.removal_timers.pop(upstream.name, None)
         if timer is not None:
             timer.cancel()
+        upstream = self.state.view.upstreams.keep_leaving(upstream)
         before = self.state.view.put_upstream(upstream)
         is_same = _is_same(before, upstream)
         if source != STORE_SOURCE:
@@ -117,6 +129,43 @@
             source=source,
         )
 
+    def record_own_answer(self, upstream: Upstream) -> None:
+        """Record an answer to this host which says that its sender leaves.
+
+        :param upstream: record by which the request was sent.
+        """
+        if self.record_leaving(upstream.name, upstream.incarnation, 'answer'):
+            self.on_leaving(
+                LeavingUpstream(upstream.name, upstream.incarnation)
+            )
+
+    def record_peer_answer(
+        self, leaving: LeavingUpstream, address: tuple[str, int]
+    ) -> None:
+        """Record an upstream that has told a peer that it is leaving."""
+        self.record_leaving(leaving.name, leaving.incarnation, address[0])
+
+    def record_leaving(self, name: str, incarnation: int, source: str) -> bool:
+        """Send nothing more to an incarnation that says that it is leaving.
+
+        :param source: an answer, or the host that got one.
+        :return: whether this is news.
+        """
+        record = self.state.view.record_leaving(name, incarnation)
+        if record is None:
+            return False
+        self.state.pool.close_idle(name)
+        self.state.metrics.leaving.labels(record.service).inc()
+        log_event(
+            events.CATALOGUE.UPSTREAM_LEAVING,
+            upstream=name,
+            service=record.service,
+            incarnation=incarnation,
+            beat=record.beat,
+            source=source,
+        )
+        return True
+
     def handle_missing_upstream(
         self, name: str, version: int, returned_at: float
     ) -> None:
--- a/egretmill/peers/__init__.py
+++ b/egretmill/peers/__init__.py
@@ -3,6 +3,7 @@
 from egretmill.peers.datagrams import (
     Heartbeat,
     Datagram,
+    LeavingUpstream,
     RemovedUpstream,
     TokenResponse,
     TokenRequest,
@@ -16,6 +17,7 @@
 __all__ = (
     'Heartbeat',
     'Datagram',
+    'LeavingUpstream',
     'RemovedUpstream',
     'Peer',
     'PeerLink',
--- a/egretmill/peers/datagrams.py
+++ b/egretmill/peers/datagrams.py
@@ -13,6 +13,7 @@
 __all__ = (
     'Heartbeat',
     'Datagram',
+    'LeavingUpstream',
     'RemovedUpstream',
     'TokenResponse',
     'TokenRequest',
@@ -138,7 +139,16 @@
     gone: list[RemovedUpstream] = []
 
 
-Datagram = Heartbeat | TokenRequest | TokenResponse | UpstreamChanges
+class LeavingUpstream(msgspec.Struct, frozen=True, array_like=True, tag='left'):
+    """An upstream that has said in an answer that it is leaving."""
+
+    name: str
+    incarnation: int
+
+
+Datagram = (
+    Heartbeat | TokenRequest | TokenResponse | UpstreamChanges | LeavingUpstream
+)
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Datagram)
 
