Close the connections of scripted upstreams at the end of a test

Streams that were closed with the loop already gone printed tracebacks, in whose formatting CPython 3.11 can fail with a SystemError and hide a failed test.

--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -50,7 +50,8 @@
 
     async def serve(self, reader, writer):
         """Serve one connection."""
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        ended = (asyncio.IncompleteReadError, ConnectionError)
+        with contextlib.closing(writer), contextlib.suppress(*ended):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 self.heads.append(head)
