Let the soak's store return from a copy and its upstreams speak in their answers

New faults: the store returns from a copy and its writers write again, an upstream says only in its answers that it leaves, refusals ask for a pause. A check finds requests that were sent to an upstream against its word. The new kinds are drawn apart, so that earlier seeds keep their faults.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable, Iterator
 
 from soak.operator import BURST, RATE_PER_S, ROUTES
-from soak.record import Execution, Record, RequestRecord
+from soak.record import (
+    Execution,
+    Notice,
+    Record,
+    RequestArrival,
+    RequestRecord,
+)
 
 __all__ = ('CHECKS', 'Violation', 'find_violations')
 
@@ -17,6 +23,20 @@
 DRAIN_NOTICE_S = 2.5
 #: Hosts count as in contact after this time without a disturbance.
 CONTACT_S = 3.0
+#: A request that was sent before a refusal arrives within this time.
+CROSSING_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+EXCUSING_FAULTS = frozenset(
+    (
+        'host_kill',
+        'host_term',
+        'host_pause',
+        'all_kill',
+        'upstream_cut',
+        'upstream_cut_back',
+        'upstream_delay',
+    )
+)
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERAGE = 0.1
 QUOTA_SLACK = 20
@@ -168,6 +188,35 @@
             )
 
 
+@invariant('words of upstreams')
+def check_notices(record: Record) -> Iterator[str]:
+    """Yield requests at upstreams that had told the host to send none.
+
+    A host that restarts forgets, and one that is paused or whose links are
+    cut acts late.
+    """
+    for notice in record.notices:
+        arrivals = record.arrivals[notice.upstream, notice.host]
+        late = [row for row in arrivals if is_against(notice, row)]
+        allowed = 0 if notice.pause_s is None else MAX_REQUESTS_IN_PAUSE
+        if len(late) <= allowed or record.overlaps_fault(
+            EXCUSING_FAULTS, notice.told_at, late[-1].arrived_at
+        ):
+            continue
+        yield (
+            f'{notice.upstream} told {notice.host}, '
+            f'{len(late)} requests followed'
+        )
+
+
+def is_against(notice: Notice, arrival: RequestArrival) -> bool:
+    """Return whether a request came although its host was told otherwise."""
+    if notice.pause_s is None:
+        return arrival.sent_at > notice.told_at + DRAIN_NOTICE_S
+    after_s = arrival.arrived_at - notice.told_at
+    return CROSSING_S < after_s < notice.pause_s
+
+
 @invariant('rates')
 def check_rates(record: Record) -> Iterator[str]:
     """Yield accounts with more requests in a window than their rate."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -26,6 +26,8 @@
 READY_TIMEOUT_S = 20.0
 #: Draining upstreams keep serving for this time.
 DRAIN_DURATION_S = 3.0
+#: An upstream that says only in its answers that it leaves stays longer.
+SAID_DURATION_S = 6.0
 #: Time between the end of a process and its next start.
 RESTART_DELAY_S = 0.3
 LINK_DELAY_S = 0.08
@@ -39,6 +41,7 @@
     FaultKind.ANSWER_TWICE: AnswerMode.TWICE,
     FaultKind.ANSWER_GARBLED: AnswerMode.GARBLED,
     FaultKind.ANSWER_SHEDDING: AnswerMode.SHEDDING,
+    FaultKind.ANSWER_PAUSING: AnswerMode.PAUSING,
 }
 #: Faults that leave hosts in contact with each other and with the store.
 NOT_DISTURBING = frozenset(
@@ -51,6 +54,7 @@
         FaultKind.UPSTREAM_CRASH,
         FaultKind.UPSTREAM_REUSE,
         FaultKind.UPSTREAM_REBORN,
+        FaultKind.UPSTREAM_SAYS_LEAVING,
         FaultKind.RELOAD,
         *ANSWER_MODES,
     ),
@@ -277,6 +281,9 @@
         }:
             await self.fail_link(link, fault)
             return
+        if fault.kind is FaultKind.STORE_RESTORED:
+            await self.restore_store(fault)
+            return
         faults = self.operator.store.faults
         match fault.kind:
             case FaultKind.STORE_DOWN:
@@ -301,6 +308,15 @@
         faults.malformed = False
         faults.lose_answers = 0
 
+    async def restore_store(self, fault: Fault) -> None:
+        """Let the store return from a copy; later writes are lost."""
+        saved = self.operator.store.save()
+        await asyncio.sleep(fault.duration_s)
+        self.operator.store.faults.status = HTTP_UNAVAILABLE
+        await asyncio.sleep(fault.duration_s / 2)
+        self.operator.restore(saved)
+        self.operator.store.faults.status = 0
+
     async def expire_upstreams(self, fault: Fault) -> None:
         """Expire a third of the upstreams' entries during a store outage.
 
@@ -371,6 +387,12 @@
                 )
             case FaultKind.UPSTREAM_DRAIN:
                 await self.drain_upstream(upstream)
+            case FaultKind.UPSTREAM_SAYS_LEAVING:
+                await self.add_upstream(upstream.service, upstream.domain)
+                upstream.says_leaving = True
+                await asyncio.sleep(SAID_DURATION_S)
+                upstream.crash()
+                self.operator.unregister(name)
             case _:
                 await self.fail_link(self.upstream_links[name], fault)
 
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -11,10 +11,12 @@
 from soak.links import HostLink
 from soak.record import Key, Record
 from soak.upstreams import SLOTS, SoakUpstream
-from standins.tables import TableServer, make_application
+from standins.tables import SavedTables, TableServer, make_application
 
 __all__ = ('ROUTES', 'Operator', 'RouteSpec', 'StoreView')
 
+#: Tables whose writers write again what the store has lost.
+RESTORED_TABLES = frozenset(('op', 'servers'))
 ROSTER_TABLE = 'egretmill-roster'
 AUTHORITY = 'soak.example'
 RATE_PER_S = 60
@@ -83,7 +85,7 @@
         """Start with an empty store."""
         self.record = record
         self.now = now
-        self.store = TableServer()
+        self.store = TableServer(era=1)
         self.version = 0
         self.accounts = {'first': RATE_PER_S, 'second': RATE_PER_S}
         self.serial_numbers = iter(range(1, 100000))
@@ -165,6 +167,25 @@
         }
         self.store.put('servers', upstream.name, json.dumps(body).encode())
 
+    def restore(self, saved: SavedTables) -> None:
+        """Let the store return from a copy, and write again what it lost."""
+        written = {
+            row: content
+            for row, (content, _) in self.store.rows.items()
+            if row[0] in RESTORED_TABLES
+        }
+        self.store.restore(saved)
+        stored = {
+            row: content
+            for row, (content, _) in self.store.rows.items()
+            if row[0] in RESTORED_TABLES
+        }
+        for row in stored.keys() - written.keys():
+            self.store.remove(*row)
+        for row, content in written.items():
+            if stored.get(row) != content:
+                self.store.put(*row, content)
+
     def unregister(self, name: str) -> None:
         """Remove the entry of an upstream."""
         self.record.left.setdefault(name, self.now())
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+from collections.abc import Sequence
 
 __all__ = ('Fault', 'FaultKind', 'draw_plan')
 
@@ -65,6 +66,23 @@
     EVACUATION = 'evacuation'
     #: Callers send requests with shorter pauses.
     CROWD = 'crowd'
+    #: The store returns from a copy that lacks the latest writes.
+    STORE_RESTORED = 'store_restored'
+    #: An upstream says only in its answers that it leaves.
+    UPSTREAM_SAYS_LEAVING = 'upstream_says_leaving'
+    #: Refusals ask for a pause.
+    ANSWER_PAUSING = 'answer_pausing'
+
+
+#: Kinds that are drawn apart, so that earlier seeds keep their faults.
+ADDED_KINDS = (
+    FaultKind.STORE_RESTORED,
+    FaultKind.UPSTREAM_SAYS_LEAVING,
+    FaultKind.ANSWER_PAUSING,
+)
+FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in ADDED_KINDS)
+#: Mean time between the beginnings of two faults of the added kinds.
+ADDED_GAP_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,13 +105,26 @@
     Six kinds, drawn first, occur more often than the others.
     """
     rng = random.Random(seed)
-    frequent_kinds = rng.sample(list(FaultKind), 6)
+    frequent_kinds = rng.sample(FIRST_KINDS, 6)
+    plan = draw_faults(rng, (frequent_kinds, FIRST_KINDS), total_s, MEAN_GAP_S)
+    added_rng = random.Random(f'added {seed}')
+    plan.extend(draw_faults(added_rng, (ADDED_KINDS,), total_s, ADDED_GAP_S))
+    return sorted(plan, key=lambda fault: fault.start_s)
+
+
+def draw_faults(
+    rng: random.Random,
+    groups: Sequence[Sequence[FaultKind]],
+    total_s: float,
+    mean_gap_s: float,
+) -> list[Fault]:
+    """Draw faults of kinds from groups that are equally frequent."""
     plan = []
     start_s = 0.0
     while start_s < total_s * LAST_START_FRACTION:
-        kind = rng.choice(rng.choice((frequent_kinds, list(FaultKind))))
+        kind = rng.choice(rng.choice(groups))
         duration_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         duration_s = min(duration_s, total_s - start_s)
         plan.append(Fault(kind, start_s, duration_s, rng.randrange(1 << 16)))
-        start_s += rng.expovariate(1 / MEAN_GAP_S)
+        start_s += rng.expovariate(1 / mean_gap_s)
     return plan
--- a/soak/record.py
+++ b/soak/record.py
@@ -3,10 +3,19 @@
 All times are seconds of the same monotonic clock.
 """
 
+import collections
 import dataclasses
 import math
+from collections.abc import Container
 
-__all__ = ('Execution', 'Key', 'Record', 'RequestRecord')
+__all__ = (
+    'Execution',
+    'Key',
+    'Notice',
+    'Record',
+    'RequestArrival',
+    'RequestRecord',
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +53,27 @@
     has_credentials: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestArrival:
+    """A request of a caller reached an upstream, run or not."""
+
+    sent_at: float
+    arrived_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """An upstream told a host in an answer that it leaves or wants a pause.
+
+    :param pause_s: ``None`` when it leaves.
+    """
+
+    upstream: str
+    host: str
+    told_at: float
+    pause_s: float | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class Key:
     """An API key and when the store accepted its changes.
@@ -65,6 +95,8 @@
     :param asked: all requests of the callers, by request id.
     :param left: when the store accepted that an upstream drains or is
         removed, by upstream.
+    :param arrivals: times of requests, by upstream and host.
+    :param notices: what upstreams said in their answers.
     :param disturbed: spans in which hosts may have lost contact with each
         other or with the store.
     :param faults: spans and kinds of all faults, graceful restarts included.
@@ -75,6 +107,10 @@
     executions: list[Execution] = dataclasses.field(default_factory=list)
     keys: dict[str, Key] = dataclasses.field(default_factory=dict)
     left: dict[str, float] = dataclasses.field(default_factory=dict)
+    arrivals: dict[tuple[str, str], list[RequestArrival]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list),
+    )
+    notices: list[Notice] = dataclasses.field(default_factory=list)
     disturbed: list[tuple[float, float]] = dataclasses.field(
         default_factory=list,
     )
@@ -88,3 +124,22 @@
         return not any(
             begun < end and start < ended for begun, ended in self.disturbed
         )
+
+    def record_arrival(self, upstream: str, request_id: str, now: float) -> str:
+        """Record that a request reached an upstream; return its host."""
+        request = self.asked.get(request_id)
+        if request is None:
+            return ''
+        self.arrivals[upstream, request.host].append(
+            RequestArrival(request.sent_at, now)
+        )
+        return request.host
+
+    def overlaps_fault(
+        self, kinds: Container[str], start: float, end: float
+    ) -> bool:
+        """Return whether a span overlaps a fault of some kinds."""
+        return any(
+            kind in kinds and begun < end and start < ended
+            for begun, ended, kind in self.faults
+        )
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -6,7 +6,7 @@
 import enum
 import random
 
-from soak.record import Execution, Record
+from soak.record import Execution, Notice, Record
 
 __all__ = ('AnswerMode', 'SoakUpstream')
 
@@ -26,9 +26,12 @@
     TWICE = 'twice'
     GARBLED = 'garbled'
     SHEDDING = 'shedding'
+    PAUSING = 'pausing'
 
 
 SLOW_FACTOR = 12
+#: Pause that a refusal asks for.
+PAUSE_S = 2.0
 #: Errors that end the service of a connection.
 CONNECTION_ERRORS = (
     asyncio.IncompleteReadError,
@@ -57,8 +60,14 @@
     fault_fraction: float = 1
     server: asyncio.Server | None = None
     running: int = 0
+    says_leaving: bool = False
     writers: set = dataclasses.field(default_factory=set)
 
+    @property
+    def start_name(self) -> str:
+        """Return a name that differs after each start."""
+        return f'{self.name}/{self.incarnation}'
+
     async def open(self, port: int = 0) -> int:
         """Listen; return the port."""
         self.server = await asyncio.start_server(self.serve, '127.0.0.1', port)
@@ -103,6 +112,19 @@
         mode = self.answer_mode
         if self.rng.random() > self.fault_fraction:
             mode = AnswerMode.NORMALLY
+        host = self.record.record_arrival(
+            self.start_name, request_id, self.loop.time()
+        )
+        if mode is AnswerMode.PAUSING:
+            self.notify(host, PAUSE_S)
+            writer.write(
+                encode_answer(
+                    503,
+                    request_id,
+                    f'Egretmill-Not-Executed: 1\r\nRetry-After: {PAUSE_S}',
+                )
+            )
+            return True
         if mode is AnswerMode.SHEDDING or self.running >= 3 * SLOTS:
             writer.write(
                 encode_answer(503, request_id, 'Egretmill-Not-Executed: 1')
@@ -117,8 +139,19 @@
             await asyncio.sleep(service_time_s)
         finally:
             self.running -= 1
+        if self.says_leaving and mode in {
+            AnswerMode.NORMALLY,
+            AnswerMode.SLOWLY,
+        }:
+            self.notify(host, None)
         return await self.respond(writer, mode, request_id)
 
+    def notify(self, host: str, pause_s: float | None) -> None:
+        """Record what the next answer to a host says."""
+        self.record.notices.append(
+            Notice(self.start_name, host, self.loop.time(), pause_s)
+        )
+
     def record_execution(
         self,
         head: bytes,
@@ -149,6 +182,8 @@
         response_fields = (
             f'Egretmill-Response-Signature: {request_id}\r\n{load}'
         )
+        if self.says_leaving:
+            response_fields += '\r\nServer-Leaving: 1'
         complete = encode_answer(200, request_id, response_fields)
         match mode:
             case AnswerMode.NEVER:
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -8,7 +8,7 @@
 
 from tornado import web
 
-__all__ = ('TableFaults', 'TableServer', 'make_application')
+__all__ = ('SavedTables', 'TableFaults', 'TableServer', 'make_application')
 
 MAX_PAGE_ROWS = 500
 HTTP_FORBIDDEN = 403
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,8 +3,15 @@
 import pytest
 
 from soak.checks import find_violations
-from soak.plan import draw_plan
-from soak.record import Execution, Key, Record, RequestRecord
+from soak.plan import ADDED_KINDS, draw_plan
+from soak.record import (
+    Execution,
+    Key,
+    Notice,
+    Record,
+    RequestArrival,
+    RequestRecord,
+)
 
 KEY = 'k1'
 
@@ -101,6 +108,46 @@
     assert 'leaving upstreams' not in violated_invariants(record)
 
 
+@pytest.mark.parametrize(
+    ('pause_s', 'after_s', 'count', 'is_found'),
+    [
+        (None, 2.6, 1, True),
+        (None, 2.4, 9, False),
+        (2.0, 1.5, 3, True),
+        (2.0, 1.5, 2, False),
+        (2.0, 0.4, 9, False),
+        (2.0, 2.1, 9, False),
+    ],
+)
+def test_request_against_the_word_of_an_upstream_is_found(
+    pause_s, after_s, count, is_found
+):
+    """Guards against missing requests after an upstream asked for none.
+
+    A host that was restarted in between has forgotten it.
+    """
+    record = make_record()
+    record.notices.append(Notice('u1/1', 'h1', 10, pause_s))
+    arrival = RequestArrival(10 + after_s, 10 + after_s)
+    record.arrivals['u1/1', 'h1'] = [arrival] * count
+    found = 'words of upstreams' in violated_invariants(record)
+    assert found is is_found
+    record.faults.append((11, 11.5, 'host_kill'))
+    record.faults.append((10, 10.1, 'host_term'))
+    assert 'words of upstreams' not in violated_invariants(record)
+
+
+def test_added_kinds_leave_the_faults_of_earlier_seeds():
+    """Guards against a seed that no longer plays what it once found."""
+    plan = [row for row in draw_plan(7, 12) if row.kind not in ADDED_KINDS]
+    kinds = (
+        'evacuation upstream_drain reload reload reload reload upstream_reborn '
+        'all_kill evacuation store_limit upstream_cut_back upstream_cut'
+    )
+    assert ' '.join(row.kind.value for row in plan) == kinds
+    assert (plan[0].selector, plan[-1].selector) == (28140, 21621)
+
+
 def test_excess_over_a_rate_is_found():
     """Guards against missing an account that exceeds its rate."""
     record = make_record()
