Let a returned store settle before its tables hold as they are

Found while reading the change: a whole read for another reason (lost history, peers that differ, as they do just after a return) ended the time in which what is in force is kept; evacuations and members of the roster could be dropped before they were written again. And an upstream whose entry had lapsed and that the older copy has again was left out for good, since its row is not written again.

Until the time is over, every whole read is merged. Removals of earlier eras are forgotten when it is; what an incarnation has said of its leaving is not. Two tests, which failed before. An unused method of the list of upstreams goes.

--- a/egretmill/fleet/upstreams.py
+++ b/egretmill/fleet/upstreams.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import enum
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Mapping
 
 import xxhash
 
-from egretmill.tables.versions import is_later_in_era
+from egretmill.tables.versions import era_of, is_later_in_era
 
 __all__ = ('Removal', 'Upstream', 'UpstreamList', 'UpstreamState')
 
@@ -213,12 +213,17 @@
         if len(self.removals) > MAX_REMOVALS:
             self.removals.pop(next(iter(self.removals)))
 
-    def retain(self, names: Iterable[str]) -> Iterator[Upstream]:
-        """Remove and yield the upstreams whose names are not listed."""
-        for name in set(self.by_name).difference(names):
-            removed = self.remove(name)
-            if removed is not None:
-                yield removed
+    def forget_removals(self, era: int) -> None:
+        """Forget removals before an era of the store.
+
+        An entry that the store still has when its writers have written
+        again is not removed. What an incarnation has said of its leaving holds.
+        """
+        self.removals = {
+            name: removal
+            for name, removal in self.removals.items()
+            if removal.is_leaving or era_of(removal.version) >= era
+        }
 
     def candidates(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that may get requests."""
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -278,7 +278,7 @@
             self.failures += 1
             return False
         self.record_recovery(sent_at)
-        self.log_rows(answer.ok_value, sent_at)
+        _log_rows(self, answer.ok_value, self.now() - sent_at)
         self.apply_rows(answer.ok_value)
         self.listener.confirm_current(sent_at)
         return True
@@ -286,16 +286,9 @@
     def apply_rows(self, answer: Snapshot | Changes) -> None:
         """Pass rows on to the listener and keep them."""
         match answer:
-            case Snapshot() if _is_restored(answer, self.highest_version):
-                self.whole_read_requested = False
-                self.settled_at = self.now() + SETTLE_S
-                self.recovered_at = self.now()
-                self.listener.restore_rows(answer)
-                self.on_restored()
             case Snapshot():
                 self.whole_read_requested = False
-                self.settled_at = math.inf
-                self.listener.replace_rows(answer)
+                self.apply_snapshot(answer)
             case Changes():
                 self.listener.apply_changes(answer)
         if self.keeps_rows:
@@ -303,6 +296,25 @@
         self.version = answer.version
         self.highest_version = answer.version
 
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Pass a whole table on to the listener.
+
+        Until the time after a return of the store is over, whole reads for
+        other reasons do not end what is in force either.
+        """
+        now = self.now()
+        is_restored = _is_restored(snapshot, self.highest_version)
+        if is_restored:
+            self.settled_at = now + SETTLE_S
+            self.recovered_at = now
+        if now < self.settled_at < math.inf:
+            self.listener.restore_rows(snapshot)
+        else:
+            self.settled_at = math.inf
+            self.listener.replace_rows(snapshot)
+        if is_restored:
+            self.on_restored()
+
     def keep(self, answer: Snapshot | Changes) -> None:
         """Keep the rows that are in force after an answer."""
         rows = {} if isinstance(answer, Snapshot) else dict(self.rows)
@@ -340,20 +352,6 @@
         self.listener.confirm_current(confirmed_at, source)
         return True
 
-    def log_rows(self, answer: Snapshot | Changes, sent_at: float) -> None:
-        """Log an answer that holds rows, with the call that brought it."""
-        if not answer.rows:
-            return
-        log_event(
-            events.CATALOGUE.ROWS_READ,
-            table=self.table,
-            call=type(answer).__name__.lower(),
-            rows=len(answer.rows),
-            after=self.version,
-            version=answer.version,
-            sent_before_s=round(self.now() - sent_at, 3),
-        )
-
     def record_failure(self, failure: StoreFailure, sent_at: float) -> None:
         """Record a failed call."""
         if failure.problem is StoreProblem.HISTORY_GONE:
@@ -396,3 +394,20 @@
 def _is_restored(snapshot: Snapshot, known_version: int) -> bool:
     """Return whether a table is from a later era than the copy of it."""
     return 0 < era_of(known_version) < era_of(snapshot.version)
+
+
+def _log_rows(
+    watch: TableWatch, answer: Snapshot | Changes, sent_before_s: float
+) -> None:
+    """Log an answer that holds rows, with the call that brought it."""
+    if not answer.rows:
+        return
+    log_event(
+        events.CATALOGUE.ROWS_READ,
+        table=watch.table,
+        call=type(answer).__name__.lower(),
+        rows=len(answer.rows),
+        after=watch.version,
+        version=answer.version,
+        sent_before_s=round(sent_before_s, 3),
+    )
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -222,6 +222,51 @@
     run_with_store(scenario)
 
 
+def test_whole_read_meanwhile_undoes_nothing():
+    """Guards against a lost history soon after a return of the store."""
+
+    async def scenario(server, operator, start_host):
+        operator.configure(10)
+        host = start_host()
+        saved = server.save()
+        operator.evacuate('west-a')
+        server.put(ROSTER_TABLE, 'h2', OTHER_HOST)
+        await host.read()
+        server.restore(saved)
+        await host.read()
+        for watch in host.watches.values():
+            watch.read_whole_now()
+        await host.read()
+        assert host.view.evacuated == {'west-a'}
+        assert host.state.share.members == {'h2'}
+
+    run_with_store(scenario)
+
+
+def test_entry_that_the_store_keeps_is_used_again(monkeypatch):
+    """Guards against a live upstream that gets nothing after a return.
+
+    Its entry had lapsed; the copy has it, so it is not written again.
+    """
+    monkeypatch.setattr('egretmill.tables.watch.SETTLE_S', 0.05)
+
+    async def scenario(server, operator, start_host):
+        operator.report('i-1')
+        host = start_host()
+        await host.read()
+        saved = server.save()
+        operator.leave('i-1')
+        await host.read()
+        server.restore(saved)
+        await host.read()
+        assert not host.candidates()
+        await asyncio.sleep(0.06)
+        await host.read()
+        assert host.candidates() == ['i-1']
+
+    run_with_store(scenario)
+
+
 def test_second_return_undoes_nothing():
     """Guards against a memory of the first return that misleads the second."""
 
