Keep a host in the roster that was removed and has joined again

Found while reading the change: after a return of the store from a copy of before its removal, its entry there has the number of the one that was removed, and a live host was dropped from the roster. What is known as a member is one. The test failed before.

--- a/egretmill/host/roster_table.py
+++ b/egretmill/host/roster_table.py
@@ -85,9 +85,8 @@
         self.replace_rows(snapshot)
         self.rows = {**known, **self.rows}
         self.removed_rows = removed
-        for name, row in removed.items():
-            current = self.rows.get(name)
-            if current is not None and _is_same_number(current, row):
+        for name in removed.keys() & self.rows.keys() - known.keys():
+            if _is_same_number(self.rows[name], removed[name]):
                 self.rows.pop(name)
                 self.revived.add(name)
         self.restored.set()
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -243,6 +243,29 @@
     run_with_store(scenario)
 
 
+def test_host_that_joined_again_stays_a_member():
+    """Guards against a live host that is taken for one that was removed."""
+
+    async def scenario(server, operator, start_host):
+        host = start_host()
+        server.put(ROSTER_TABLE, 'h2', OTHER_HOST)
+        server.put(ROSTER_TABLE, 'h3', OTHER_HOST)
+        await host.read()
+        saved = server.save()
+        server.remove(ROSTER_TABLE, 'h2')
+        server.remove(ROSTER_TABLE, 'h3')
+        await host.read()
+        server.put(ROSTER_TABLE, 'h2', OTHER_HOST)
+        await host.read()
+        server.restore(saved)
+        await host.read()
+        assert host.state.share.members == {'h2'}
+        await host.keeper.write_again()
+        assert not server.version_of(ROSTER_TABLE, 'h3')
+
+    run_with_store(scenario)
+
+
 def test_entry_that_the_store_keeps_is_used_again(monkeypatch):
     """Guards against a live upstream that gets nothing after a return.
 
