--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -27,7 +27,7 @@
 from egretmill.logs import configure, log_event
 from egretmill.programs import StopSignals, omit_unused_log_fields
 from egretmill.tables.ports import TableStore
-from egretmill.tables.watch import PollTiming, TableWatch
+from egretmill.tables import PollTiming, TableWatch
 
 __all__ = ('Adapter', 'HostProgram', 'run_host')
 
--- a/egretmill/tables/__init__.py
+++ b/egretmill/tables/__init__.py
@@ -1,5 +1,7 @@
 """Versioned tables of a store: interface, rows and polling."""
 
+from egretmill.tables.listener import TableListener
+from egretmill.tables.polling import PollTiming, PollTimings
 from egretmill.tables.ports import (
     Changes,
     RowKey,
@@ -10,12 +12,7 @@
     TableStore,
     Write,
 )
-from egretmill.tables.watch import (
-    PollTiming,
-    PollTimings,
-    TableListener,
-    TableWatch,
-)
+from egretmill.tables.watch import TableWatch
 
 __all__ = (
     'Changes',
--- a/egretmill/tables/watch.py
+++ b/egretmill/tables/watch.py
@@ -1,17 +1,27 @@
 """Keeps a copy of a store's table and tracks the age of the copy."""
 
 import asyncio
-import dataclasses
 import math
 import random
 from collections.abc import Callable, Sequence
-from typing import Protocol
 
 from result import Err, Result
 
 from egretmill import events
-from egretmill.fleet.freshness import STORE_SOURCE, Freshness, boot_time
+from egretmill.fleet.freshness import Freshness, boot_time
 from egretmill.logs import log_event
+from egretmill.tables.listener import (
+    RowsByKey,
+    TableListener,
+    adopt_nothing,
+    ignore_return,
+    keep_stored_rows,
+)
+from egretmill.tables.polling import (
+    PollTiming,
+    PollTimings,
+    is_never_designated_reader,
+)
 from egretmill.tables.ports import (
     Changes,
     Snapshot,
@@ -22,7 +32,7 @@
 )
 from egretmill.tables.versions import era_of
 
-__all__ = ('PollTiming', 'PollTimings', 'TableListener', 'TableWatch')
+__all__ = ('TableWatch',)
 
 #: First and longest pause after a failed call, in seconds.
 INITIAL_RETRY_PAUSE_S = 0.1
@@ -40,91 +50,6 @@
 MIN_WAIT_S = 0.1
 
 
-RowsByKey = dict[str, StoredRow]
-
-
-class TableListener(Protocol):
-    """Receives the rows of a table."""
-
-    def replace_rows(self, snapshot: Snapshot) -> None:
-        """Replace the whole table; rows that are missing were removed."""
-        raise NotImplementedError
-
-    def restore_rows(self, snapshot: Snapshot) -> None:
-        """Apply the table as of a return of the store from an older copy.
-
-        What is in force and missing or older there will be written again. It
-        holds until :meth:`replace_rows` is called some seconds later.
-        """
-        raise NotImplementedError
-
-    def apply_changes(self, changes: Changes) -> None:
-        """Apply changed and removed rows, in order.
-
-        A row that has changed several times is listed with each change.
-        """
-        raise NotImplementedError
-
-    def confirm_current(
-        self, sent_at: float, source: str = STORE_SOURCE
-    ) -> None:
-        """Record that the copy was current at ``sent_at``, a boot time.
-
-        :param source: the store, or the host that the copy is from.
-        """
-        raise NotImplementedError
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PollTiming:
-    """How often a table is polled.
-
-    :param wait_s: long poll: longest wait of a call for a change.
-    :param interval_s: shortest time between the starts of two calls.
-    :param max_age_s: no call while the copy was confirmed to be current, by
-        the store or a peer, less than this time ago.
-    """
-
-    wait_s: float
-    interval_s: float = 0
-    max_age_s: float = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PollTimings:
-    """How often designated readers and the other hosts poll a table.
-
-    A designated reader polls the table on behalf of the other hosts as well.
-    """
-
-    designated_reader: PollTiming
-    other_hosts: PollTiming
-
-    @classmethod
-    def for_all_hosts(cls, timing: PollTiming) -> 'PollTimings':
-        """Return the same intervals for designated readers and other hosts."""
-        return cls(timing, timing)
-
-
-def ignore_return() -> None:
-    """Ignore a return of the store."""
-
-
-def adopt_nothing(rows: Sequence[StoredRow]) -> RowsByKey:
-    """Return no rows: those of the store hold."""
-    return {}
-
-
-def keep_stored_rows(stored: RowsByKey, known: RowsByKey) -> RowsByKey:
-    """Return the rows of the store."""
-    return stored
-
-
-def is_never_designated_reader() -> bool:
-    """Return False: this host follows the table for itself only."""
-    return False
-
-
 class TableWatch:
     """Keeps a copy of one table up to date with the store.
 
