Take a word on an unknown start of an upstream for that start only

A peer's word on a start that this host has not read yet was kept with the report number of the start before, so that the first reports of the new one were ignored here and not at the peers. The new test failed before.

--- a/egretmill/fleet/upstreams.py
+++ b/egretmill/fleet/upstreams.py
@@ -181,14 +181,12 @@
                 return None
             self.put(dataclasses.replace(current, state=UpstreamState.LEAVING))
             return current
-        removal = self.removals.get(name)
-        if current is None and (
-            removal is None or removal.incarnation <= incarnation
-        ):
-            beat = removal.beat if removal else 0
-            version = removal.version if removal else 0
+        if current is None:
+            removal = self.removals.get(name)
+            if removal is None or removal.incarnation != incarnation:
+                removal = Removal(incarnation, 0)
             self.record_removal(
-                name, Removal(incarnation, beat, version, is_leaving=True)
+                name, dataclasses.replace(removal, is_leaving=True)
             )
         return None
 
--- a/tests/fleet/test_upstreams.py
+++ b/tests/fleet/test_upstreams.py
@@ -62,6 +62,18 @@
     assert names(upstreams) == [NAME]
 
 
+def test_word_of_an_unknown_start_says_nothing_of_its_reports():
+    """Guards against a leaving upstream that differs from the peers' lists."""
+    upstreams = UpstreamList()
+    upstreams.put(dataclasses.replace(READY, beat=9))
+    upstreams.remove(NAME, 10)
+    upstreams.record_leaving(NAME, 2)
+    upstreams.put(RESTARTED)
+    assert upstreams.by_name[NAME].is_leaving
+    upstreams.put(dataclasses.replace(RESTARTED, incarnation=3))
+    assert names(upstreams) == [NAME]
+
+
 def test_another_upstream_at_the_address_is_not_bound():
     """Guards against a reused address that gets nothing."""
     upstreams = UpstreamList()
