--- a/review/harness.py
+++ b/review/harness.py
@@ -245,7 +245,7 @@
         self.record.add('operator', f'configuration {version:08x}')
 
     def register(
-        self, name: str, service: str, port: int, **status: object
+        self, name: str, service: str, port: int, slots: int = 16
     ) -> None:
         """Write the entry of a worker."""
         body = {
@@ -254,13 +254,12 @@
                 'Service': service,
                 'Version': 'v1',
                 'Zone': 'one-a',
-                'Slots': 16,
+                'Slots': slots,
             },
             'Status': {
                 'State': 'ready',
                 'Sequence': 1,
                 'ColdRemaining': '0ms',
-                **status,
             },
             'born': 1700000000000,
         }
--- a/review/workers.py
+++ b/review/workers.py
@@ -24,6 +24,7 @@
         """Write what happens to a record."""
         self.record = record
         self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> int:
         """Listen on a free port; return it."""
@@ -33,14 +34,17 @@
         return self.server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening, and end the connections."""
         if self.server is not None:
             self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve the requests of one connection."""
+        self.writers.add(writer)
         with contextlib.suppress(
             asyncio.IncompleteReadError, OSError, ForeignBytesError
         ):
@@ -48,6 +52,7 @@
                 head = await reader.readuntil(b'\r\n\r\n')
                 await self.serve_request(head, reader, writer)
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
     async def serve_request(
