--- a/review/workers.py
+++ b/review/workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import socket
 from collections.abc import AsyncIterator, Mapping
 
 from review.harness import Record, parse_fields
@@ -10,6 +11,7 @@
 __all__ = ('ForeignBytesError', 'Worker', 'encode_answer', 'iter_body')
 
 PIECE_BYTES = 65536
+RECEIVE_BUFFER_BYTES = 65536
 CHUNK_SIZE = re.compile(rb'[0-9a-fA-F]+')
 
 
@@ -31,7 +33,12 @@
         self.server = await asyncio.start_server(
             self.serve, '127.0.0.1', 0, limit=PIECE_BYTES
         )
-        return self.server.sockets[0].getsockname()[1]
+        listener = self.server.sockets[0]
+        # Accepted connections inherit it: the windows of the pages are small.
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        return listener.getsockname()[1]
 
     def close(self) -> None:
         """Stop listening, and end the connections."""
