Log answers that come before their request is sent whole

The event request_answered_early gives the bytes that have arrived and those that are not written, and whether the connection was kept.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -253,6 +253,12 @@
         logging.INFO,
         'The caller disconnected before its answer; the call was cancelled.',
     )
+    REQUEST_ANSWERED_EARLY = Event(
+        308,
+        'request_answered_early',
+        logging.INFO,
+        'An upstream answered before its request was sent whole.',
+    )
     SHARE_SLOT_ACQUIRED = Event(
         401,
         'share_slot_acquired',
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -291,6 +291,8 @@
         self.in_flight = False
         if isinstance(attempted, Err):
             self.state.pool.close_unused_since(record.name, now)
+        elif not connection.request_written:
+            _log_early_answer(self, record.name, connection, attempted.ok_value)
         self.state.pool.release(selected.load, connection)
         return attempted
 
@@ -447,3 +449,23 @@
         expected_ms=int(selected.expected_s * 1000),
         left_ms=int(exchange.remaining_s * 1000),
     )
+
+
+def _log_early_answer(
+    exchange: Exchange,
+    upstream: str,
+    connection: ClientConnection,
+    response: Response,
+) -> None:
+    """Log an answer that came before the request was sent whole."""
+    body = exchange.pending.body
+    log_event(
+        events.CATALOGUE.REQUEST_ANSWERED_EARLY,
+        request_id=exchange.accepted.request_id.decode('latin-1'),
+        upstream=upstream,
+        status=response.status,
+        body_arrived=body.complete,
+        arrived_bytes=body.received_bytes,
+        unwritten_bytes=connection.unwritten_bytes,
+        kept=connection.is_usable,
+    )
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -106,6 +106,8 @@
 
     :param idle_since: loop time at which the last call ended.
     :param received_at: loop time at which the last bytes arrived, 0 at first.
+    :param unwritten_bytes: bytes of the last call's body that have arrived from
+        the caller and were not written when the call ended.
     :param keep_alive_s: how long the upstream keeps an idle connection open, in
         seconds; ``None`` if it does not say.
     """
@@ -124,6 +126,9 @@
         self.reusable = True
         self.idle_since = self.loop.time()
         self.received_at = 0.0
+        self.request_written = False
+        self.written_bytes = 0
+        self.unwritten_bytes = 0
         self.keep_alive_s: float | None = None
         self.calls = 0
 
@@ -212,6 +217,8 @@
             self._fail_call(FailureCause.CLOSED, 'closed before the call')
             return None
         self.sent = True
+        self.request_written = False
+        self.written_bytes = 0
         self.calls += 1
         self.reader = ResponseReader(
             self, self.budget, bodiless=call.method == b'HEAD'
@@ -219,6 +226,8 @@
         head = call.encode_head()
         if call.body.complete and call.body.replayable:
             self.write(head + b''.join(call.body.chunks))
+            self.written_bytes = call.body.received_bytes
+            self.request_written = True
             return None
         self.write(head)
         return self.loop.create_task(self._write_body(call))
@@ -229,12 +238,14 @@
             async for chunk in call.body.iter_chunks():
                 await self.writable.wait()
                 self.write(frame_chunk(chunk))
+                self.written_bytes += len(chunk)
         except TruncatedBodyError:
             self._fail_call(FailureCause.CALLER_GONE, 'body was cut')
             self.abort()
             return
         if call.is_chunked:
             self.write(LAST_CHUNK)
+        self.request_written = True
 
     def _is_mismatched(self, response: Response) -> bool:
         if self.call is None or self.call.expected_header is None:
@@ -262,6 +273,9 @@
         self.waiter.set_result(Err(failure))
 
     def _end_call(self) -> None:
+        if self.call is not None:
+            arrived_bytes = self.call.body.received_bytes
+            self.unwritten_bytes = arrived_bytes - self.written_bytes
         self.call = None
         self.waiter = None
         if self.reader is not None:
