Reset the connections of scripted upstreams at the end of a test

The finalizer of a stream that is still open raises once the event loop is closed. Raised while pytest parses a source file to show a failure, it ended the whole run with an internal error (SystemError: AST constructor recursion depth mismatch, Python 3.11.6) instead of the failure; seen five times of five with two failing tests of tests/http1/test_client.py. With the reset, both are reported, twice of two. The checks are unchanged.

--- a/tests/http1/harness.py
+++ b/tests/http1/harness.py
@@ -88,9 +88,23 @@
 
 @contextlib.asynccontextmanager
 async def run_upstream(serve):
-    """Run a scripted upstream; yield its port."""
-    server = await asyncio.start_server(serve, ADDRESS, 0)
+    """Run a scripted upstream; yield its port.
+
+    Its connections are reset at the end: the finalizer of an open stream
+    would raise after the event loop has been closed.
+    """
+    writers = []
+
+    async def serve_connection_of_upstream(reader, writer):
+        writers.append(writer)
+        await serve(reader, writer)
+
+    server = await asyncio.start_server(
+        serve_connection_of_upstream, ADDRESS, 0
+    )
     try:
         yield server.sockets[0].getsockname()[1]
     finally:
         server.close()
+        for writer in writers:
+            writer.transport.abort()
