End chunked uploads that have arrived before they are sent

Callers that upload over 1 MiB in chunks were answered 504 at the timeout of the route, since the upstream never got the last chunk.

Cause: the framing was taken from the state of the body (complete or not), once for the head and again for the body. A body that was still arriving when the head was sent is complete when its last chunk is due, so it got none. One that ended between the head and the first chunk was sent without any framing.

The framing is decided with the head now.

Before: both variants of the new test failed with a timeout.

--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -84,7 +84,7 @@
 
     @property
     def is_chunked(self) -> bool:
-        """Return whether the body is sent with chunked transfer coding."""
+        """Return whether a request sent now has a chunked body."""
         return self.declared_length is None and not self.body.complete
 
     def _framing_headers(self) -> list[Header]:
@@ -230,10 +230,17 @@
             self.request_written = True
             return None
         self.write(head)
-        return self.loop.create_task(self._write_body(call))
+        return self.loop.create_task(
+            self._write_body(call, is_chunked=call.is_chunked)
+        )
+
+    async def _write_body(self, call: Call, *, is_chunked: bool) -> None:
+        """Write the body, framed as the head says.
 
-    async def _write_body(self, call: Call) -> None:
-        frame_chunk = _encode_chunk if call.is_chunked else bytes
+        The body can be complete by the time it is written, so its state does
+        not tell the framing any more.
+        """
+        frame_chunk = _encode_chunk if is_chunked else bytes
         try:
             async for chunk in call.body.iter_chunks():
                 await self.writable.wait()
@@ -243,7 +250,7 @@
             self._fail_call(FailureCause.CALLER_GONE, 'body was cut')
             self.abort()
             return
-        if call.is_chunked:
+        if is_chunked:
             self.write(LAST_CHUNK)
         self.request_written = True
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -216,6 +216,54 @@
     assert not body.replayable
 
 
+async def read_framed_request(reader):
+    """Return the body of a request, framed as its head says."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    fields = head.lower()
+    if b'transfer-encoding: chunked' not in fields:
+        length = fields.partition(b'content-length: ')[2].split(b'\r\n')[0]
+        return await reader.readexactly(int(length))
+    chunks = []
+    while size := int(await reader.readuntil(b'\r\n'), 16):
+        chunks.append(await reader.readexactly(size))
+        assert await reader.readexactly(2) == b'\r\n'
+    assert await reader.readexactly(2) == b'\r\n'
+    return b''.join(chunks)
+
+
+@pytest.mark.parametrize('ends_before_first_chunk', [True, False])
+async def test_chunked_body_that_ends_during_the_call_is_framed_whole(
+    ends_before_first_chunk,
+):
+    """Guards against chunked uploads without an end at the upstream.
+
+    The framing was chosen again when the body had arrived.
+    """
+    received = []
+
+    async def serve(reader, writer):
+        received.append(await read_framed_request(reader))
+        writer.write(encode_response(b'1'))
+
+    body = Body()
+    async with run_upstream(serve) as port:
+        connection = (await connect(ADDRESS, port, 1)).ok_value
+        call = make_call(method=b'POST')
+        call.body = body
+        body.feed(b'abc')
+        task = asyncio.create_task(connection.send(call))
+        # The head is sent, and the task that writes the body has not started.
+        await asyncio.sleep(0)
+        if not ends_before_first_chunk:
+            await wait_until(lambda: not body.chunks)
+        body.feed(b'def')
+        body.mark_complete()
+        outcome = await task
+    assert isinstance(outcome, Ok)
+    assert received == [b'abcdef']
+    assert connection.is_usable
+
+
 async def test_truncated_body_fails_the_call():
     """Guards against completing a truncated body towards the upstream."""
 
