Keep no connection on which a part of a body is not written

An upstream that answered an upload of over 1 MiB before it had read it got the next caller's request in the place of the rest of the body.

Cause: a connection was kept if the body had arrived from the caller. What has to hold is that it has been written to the upstream: of a body that is streamed, up to 1 MiB can wait in the buffer, and the task that writes it ends with the call.

Ruled out: bytes that are written and wait in the transport, which stay in order (a test).

Now a connection is kept only if the whole request was written. Before: the new test failed (the connection was usable).

--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -196,8 +196,9 @@
         if self._is_mismatched(response):
             self._skip_or_fail_mismatched()
             return
-        if self.call is None or not self.call.body.complete:
-            # The upstream would parse the rest of the body as a request.
+        if not self.request_written:
+            # The upstream would take the next request for the rest of the
+            # body. A body that has arrived here may still wait to be written.
             self.reusable = False
         self.keep_alive_s = keep_alive_s(response)
         self.waiter.set_result(Ok(response))
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -9,6 +9,8 @@
 from tests.http1.harness import ADDRESS, wait_until, run_upstream
 
 ID_HEADER = b'X-Id'
+#: More than the kernel and the transport buffer for a peer that does not read.
+LONG_BODY_BYTES = 16 << 20
 
 
 def make_call(identifier=b'1', body=b'', method=b'GET', limit_s=1.0):
@@ -26,10 +28,10 @@
     )
 
 
-def encode_response(identifier, body=b'yes', extra=b''):
+def encode_response(identifier, body=b'yes', extra=b'', status=200):
     """Return the bytes of a response."""
-    head = b'HTTP/1.1 200 OK\r\nX-Id: %b\r\n%bContent-Length: %d\r\n\r\n'
-    return head % (identifier, extra, len(body)) + body
+    head = b'HTTP/1.1 %d X\r\nX-Id: %b\r\n%bContent-Length: %d\r\n\r\n'
+    return head % (status, identifier, extra, len(body)) + body
 
 
 async def call_scripted_upstream(responses, calls=1, **options):
@@ -264,6 +266,65 @@
     assert connection.is_usable
 
 
+async def test_early_answer_to_an_unsent_body_ends_the_connection():
+    """Guards against the next request in the place of the rest of a body.
+
+    The body has arrived from the caller, but is not written: the upstream
+    reads on only after its answer.
+    """
+    received = []
+    reads_on = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(encode_response(b'1', status=413))
+        await reads_on.wait()
+        received.append(await reader.read())
+
+    body = Body()
+    async with run_upstream(serve) as port:
+        connection = (await connect(ADDRESS, port, 1)).ok_value
+        call = make_call(method=b'POST')
+        call.body = body
+        call.declared_length = b'%d' % LONG_BODY_BYTES
+        task = asyncio.create_task(connection.send(call))
+        await asyncio.sleep(0)
+        body.feed(b'u' * LONG_BODY_BYTES)
+        body.feed(b'u')
+        body.mark_complete()
+        assert (await task).ok_value.status == 413
+        assert body.complete
+        assert not connection.is_usable
+        await connection.send(make_call(b'2'))
+        reads_on.set()
+        await wait_until(lambda: received)
+    assert not received[0].strip(b'u')
+
+
+async def test_early_answer_to_a_written_body_keeps_the_connection():
+    """Guards against a next request that gets ahead of a buffered body."""
+    received = []
+    reads_on = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(encode_response(b'1'))
+        await reads_on.wait()
+        received.append(await reader.readexactly(LONG_BODY_BYTES))
+        received.append(await reader.readuntil(b'\r\n\r\n'))
+        writer.write(encode_response(b'2'))
+
+    async with run_upstream(serve) as port:
+        connection = (await connect(ADDRESS, port, 1)).ok_value
+        call = make_call(body=b'u' * LONG_BODY_BYTES, method=b'POST')
+        assert isinstance(await connection.send(call), Ok)
+        assert connection.is_usable
+        reads_on.set()
+        assert isinstance(await connection.send(make_call(b'2')), Ok)
+    assert not received[0].strip(b'u')
+    assert received[1].startswith(b'GET /x HTTP/1.1\r\n')
+
+
 async def test_truncated_body_fails_the_call():
     """Guards against completing a truncated body towards the upstream."""
 
