Send no second answer behind an early one whose body is malformed

A caller whose upload had been answered early got another answer, 400, when the rest of its body was malformed. Callers take that for the answer to their next request on the connection.

Cause: the rejection took a request that is still being received for one that waits for its answer. Its answer can have been sent already, or wait behind earlier ones of the connection.

The connection is closed behind the answer instead.

--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -315,16 +315,24 @@
         self.close()
 
     def reject(self, status: int, reason: str) -> None:
-        """Answer an unreadable request after the earlier answers, and close."""
+        """Answer an unreadable request after the earlier answers, and close.
+
+        One that has been answered gets no second answer: its caller would
+        take that for the answer to its next request.
+        """
         if self.closing:
             return
         self.closing = True
         self.handler.request_rejected(status, reason)
         unreadable = self.receiving
         self.receiving = None
-        if unreadable is None or unreadable.response is not None:
+        if unreadable is None:
             unreadable = PendingAnswer(self, self.reader.head, Body())
             self.queue.append(unreadable)
+        elif unreadable.response is not None:
+            if not self.queue:
+                self.shut_down()
+            return
         elif unreadable.on_disconnect is not None:
             unreadable.on_disconnect()
         unreadable.keep_alive = False
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -74,6 +74,35 @@
         assert not await reader.read()
 
 
+async def test_malformed_rest_of_an_answered_body_gets_no_second_answer():
+    """Guards against an answer that its caller takes for the next one's."""
+    recorder = Recorder()
+    async with serve_connection(recorder) as (reader, writer):
+        writer.write(b'POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+        await wait_until(lambda: recorder.requests)
+        recorder.requests[0].answer(ok_response(b'early'))
+        assert (await read_response(reader))[1] == b'early'
+        writer.write(b'not a chunk size\r\n')
+        assert not await reader.read()
+        assert recorder.errors == [400]
+
+
+async def test_invalid_rest_of_a_body_keeps_an_answer_that_is_not_sent_yet():
+    """Guards against a second answer in a pipeline."""
+    recorder = Recorder(ConnectionLimits(body_bytes=5))
+    async with serve_connection(recorder) as (reader, writer):
+        writer.write(GET_A)
+        writer.write(b'POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+        await wait_until(lambda: len(recorder.requests) == 2)
+        recorder.requests[1].answer(ok_response(b'early'))
+        writer.write(b'not a chunk size\r\n')
+        await wait_until(lambda: recorder.errors)
+        recorder.requests[0].answer(ok_response(b'first'))
+        bodies = [(await read_response(reader))[1] for _ in range(2)]
+        assert bodies == [b'first', b'early']
+        assert not await reader.read()
+
+
 async def test_shutdown_closes_after_the_last_answer_only():
     """Guards against ``Connection: close`` ahead of a running request.
 
