Limit the body of a request also after its early answer

A caller could go on for ever with a chunked body that had been answered early: the rest was read and discarded without the limit on bodies.

Cause: chunks behind the answer were skipped before they were counted, as if the request had ended with its answer. A body is told now to discard its rest, counts it all the same, and frees what it holds; a body that is longer than the limit ends the connection.

--- a/egretmill/http1/messages.py
+++ b/egretmill/http1/messages.py
@@ -43,7 +43,7 @@
 
 
 class TruncatedBodyError(Exception):
-    """The sender of a body disconnected before its end."""
+    """A body has no end: its sender disconnected, or it was discarded."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +99,7 @@
         self.complete = False
         self.truncated = False
         self.replayable = True
+        self.discarded = False
         self.resume_reading = resume_reading
         self.state_changed: asyncio.Event | None = None
 
@@ -125,12 +126,23 @@
         return self.complete or self.truncated or self.is_buffer_full
 
     def feed(self, chunk: bytes) -> None:
-        """Append a received chunk."""
+        """Append a received chunk, unless the body is discarded."""
+        self.received_bytes += len(chunk)
+        if self.discarded:
+            return
         self.chunks.append(chunk)
         self.buffered_bytes += len(chunk)
-        self.received_bytes += len(chunk)
         self._notify_change()
 
+    def discard(self) -> None:
+        """Drop what is buffered and what will still be received."""
+        self.discarded = True
+        self.chunks.clear()
+        self.buffered_bytes = 0
+        self._notify_change()
+        if self.resume_reading is not None:
+            self.resume_reading()
+
     def mark_complete(self) -> None:
         """Record that the whole body has arrived."""
         self.complete = True
@@ -149,28 +161,28 @@
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks; those of a body that streams are discarded.
 
-        :raises TruncatedBodyError: when the sender has disconnected.
+        :raises TruncatedBodyError: when the sender has disconnected, or the
+            rest was discarded.
         """
         if not self.complete:
             self.replayable = False
         position = 0
         while True:
             while position < len(self.chunks):
-                chunk = self.chunks[position]
-                if self.replayable:
-                    position += 1
-                else:
-                    self.chunks.pop(0)
-                    self._discard(chunk)
-                yield chunk
+                yield self._take_chunk(position)
+                position += int(self.replayable)
+            if self.truncated or self.discarded:
+                raise TruncatedBodyError
             if self.complete:
                 return
-            if self.truncated:
-                raise TruncatedBodyError
             await self._wait_for_change()
 
-    def _discard(self, chunk: bytes) -> None:
+    def _take_chunk(self, position: int) -> bytes:
+        """Return a chunk; one that will not be sent again is dropped."""
+        if self.replayable:
+            return self.chunks[position]
         was_buffer_full = self.is_buffer_full
+        chunk = self.chunks.pop(position)
         self.buffered_bytes -= len(chunk)
         if (
             was_buffer_full
@@ -178,6 +190,7 @@
             and self.resume_reading is not None
         ):
             self.resume_reading()
+        return chunk
 
     async def _wait_for_change(self) -> None:
         if self.state_changed is None:
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -105,8 +105,13 @@
         return self.connection.transport is None
 
     def answer(self, response: Response) -> None:
-        """Send the answer once all earlier requests are answered."""
+        """Send the answer once all earlier requests are answered.
+
+        What is left of the body is discarded, so that the connection stays
+        usable.
+        """
         self.response = response
+        self.body.discard()
         self.connection.flush()
 
 
@@ -254,7 +259,7 @@
     def body_chunk_received(self, chunk: bytes) -> None:
         """Append to the body; pause reading while its buffer is full."""
         pending = self.receiving
-        if pending is None or pending.response is not None:
+        if pending is None:
             return
         pending.body.feed(chunk)
         if pending.body.received_bytes > self.handler.limits.body_bytes:
@@ -303,8 +308,7 @@
     def resume_reading(self) -> None:
         """Resume reading unless a buffer or the pipeline is full."""
         receiving = self.receiving
-        is_full = receiving is not None and receiving.body.is_buffer_full
-        if is_full and receiving is not None and receiving.response is None:
+        if receiving is not None and receiving.body.is_buffer_full:
             return
         if len(self.queue) < MAX_PIPELINED_REQUESTS:
             self.set_reading(enabled=True)
@@ -381,8 +385,7 @@
 def _has_due_answer(queue: 'collections.deque[PendingAnswer]') -> bool:
     """Return whether the oldest unsent answer is available.
 
-    It is sent even while the request body is still arriving; the rest of the
-    body is read and discarded, so that the connection stays usable.
+    It is sent even while the request body is still arriving.
     """
     return bool(queue) and queue[0].response is not None
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -16,6 +16,8 @@
 
 GET_A = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 GET_B = b'GET /b HTTP/1.1\r\nHost: h\r\n\r\n'
+#: Longest wait for the end of a connection, in seconds.
+WAIT_S = 5.0
 
 
 async def test_pipelined_requests_run_concurrently_and_answer_in_order():
@@ -87,6 +89,20 @@
         assert recorder.errors == [400]
 
 
+async def test_endless_rest_of_an_answered_body_ends_the_connection():
+    """Guards against a body without length that is discarded for ever."""
+    recorder = Recorder(ConnectionLimits(body_bytes=5))
+    async with serve_connection(recorder) as (reader, writer):
+        writer.write(b'POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n')
+        await wait_until(lambda: recorder.requests)
+        recorder.requests[0].answer(ok_response(b'early'))
+        assert (await read_response(reader))[1] == b'early'
+        writer.write(b'9\r\n123456789\r\n')
+        async with asyncio.timeout(WAIT_S):
+            assert not await reader.read()
+        assert recorder.errors == [413]
+
+
 async def test_invalid_rest_of_a_body_keeps_an_answer_that_is_not_sent_yet():
     """Guards against a second answer in a pipeline."""
     recorder = Recorder(ConnectionLimits(body_bytes=5))
