Write requests to upstreams in a module of their own

A pure move: the state of a request that is being written (framing, bytes written, task) leaves the connection, which keeps whether it can be used again. 280 passed in tests/http1 and tests/host, unchanged.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -291,7 +291,7 @@
         self.in_flight = False
         if isinstance(attempted, Err):
             self.state.pool.close_unused_since(record.name, now)
-        elif not connection.request_written:
+        else:
             _log_early_answer(self, record.name, connection, attempted.ok_value)
         self.state.pool.release(selected.load, connection)
         return attempted
@@ -457,7 +457,10 @@
     connection: ClientConnection,
     response: Response,
 ) -> None:
-    """Log an answer that came before the request was sent whole."""
+    """Log an answer if it came before the request was sent whole."""
+    writer = connection.writer
+    if writer is None:
+        return
     body = exchange.pending.body
     log_event(
         events.CATALOGUE.REQUEST_ANSWERED_EARLY,
@@ -466,6 +469,6 @@
         status=response.status,
         body_arrived=body.complete,
         arrived_bytes=body.received_bytes,
-        unwritten_bytes=connection.unwritten_bytes,
+        unwritten_bytes=writer.unwritten_bytes,
         kept=connection.is_usable,
     )
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from egretmill.http1.client import (
-    Call,
     CallFailure,
     ClientConnection,
     FailureCause,
@@ -18,6 +17,7 @@
     ReadAttempt,
     ReadTiming,
 )
+from egretmill.http1.request_writer import Call
 from egretmill.http1.response_reader import BufferBudget
 from egretmill.http1.server import (
     ConnectionLimits,
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -8,21 +8,12 @@
 from result import Err, Ok, Result
 
 from egretmill.decoding import parse_count
-from egretmill.http1.messages import (
-    LINE_END,
-    Body,
-    Header,
-    Response,
-    TruncatedBodyError,
-    encode_headers,
-)
+from egretmill.http1.messages import Response
+from egretmill.http1.request_writer import Call, RequestWriter
 from egretmill.http1.response_reader import BufferBudget, ResponseReader
 from egretmill.http1.transport import ConnectionTransport
 
-__all__ = ('Call', 'CallFailure', 'ClientConnection', 'FailureCause', 'connect')
-
-
-LAST_CHUNK = b'0\r\n\r\n'
+__all__ = ('CallFailure', 'ClientConnection', 'FailureCause', 'connect')
 
 
 class FailureCause(enum.StrEnum):
@@ -52,52 +43,6 @@
     reused: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class Call:
-    """A request to an upstream.
-
-    :param expected_header: name and value of a header that the response must
-        echo; another value marks it as the response to another request.
-    :param deadline_at: loop time at which the call fails.
-    :param declared_length: ``Content-Length`` that the caller sent, for a
-        body that is still arriving; ``None`` if it sent none.
-    """
-
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: Body
-    deadline_at: float
-    expected_header: Header | None = None
-    declared_length: bytes | None = None
-
-    def encode_head(self) -> bytes:
-        """Return the bytes of the request up to its body."""
-        return b''.join(
-            (
-                b'%b %b HTTP/1.1\r\n' % (self.method, self.target),
-                encode_headers(self.headers),
-                encode_headers(self._framing_headers()),
-                LINE_END,
-            )
-        )
-
-    @property
-    def is_chunked(self) -> bool:
-        """Return whether a request sent now has a chunked body."""
-        return self.declared_length is None and not self.body.complete
-
-    def _framing_headers(self) -> list[Header]:
-        if self.is_chunked:
-            return [(b'Transfer-Encoding', b'chunked')]
-        length = self.declared_length
-        if self.body.complete:
-            length = b'%d' % self.body.received_bytes
-        if length == b'0' and self.method in {b'GET', b'HEAD', b'DELETE'}:
-            return []
-        return [(b'Content-Length', length or b'0')]
-
-
 CallResult = Result[Response, CallFailure]
 
 
@@ -106,8 +51,8 @@
 
     :param idle_since: loop time at which the last call ended.
     :param received_at: loop time at which the last bytes arrived, 0 at first.
-    :param unwritten_bytes: bytes of the last call's body that have arrived from
-        the caller and were not written when the call ended.
+    :param writer: writes the current request; afterwards, ``None`` if the whole
+        request was written.
     :param keep_alive_s: how long the upstream keeps an idle connection open, in
         seconds; ``None`` if it does not say.
     """
@@ -120,15 +65,13 @@
         super().__init__()
         self.budget = budget or BufferBudget()
         self.reader: ResponseReader | None = None
+        self.writer: RequestWriter | None = None
         self.call: Call | None = None
         self.waiter: asyncio.Future[CallResult] | None = None
         self.sent = False
         self.reusable = True
         self.idle_since = self.loop.time()
         self.received_at = 0.0
-        self.request_written = False
-        self.written_bytes = 0
-        self.unwritten_bytes = 0
         self.keep_alive_s: float | None = None
         self.calls = 0
 
@@ -146,9 +89,10 @@
         waiter: asyncio.Future[CallResult] = self.loop.create_future()
         self.call = call
         self.waiter = waiter
+        self.writer = None
         self.sent = False
         timer = self.loop.call_at(call.deadline_at, self.time_out_call)
-        body_task = self._start_call(call)
+        self._start_call(call)
         try:
             return await waiter
         except asyncio.CancelledError:
@@ -156,8 +100,6 @@
             raise
         finally:
             timer.cancel()
-            if body_task is not None:
-                body_task.cancel()
             self._end_call()
 
     def abort(self) -> None:
@@ -193,10 +135,10 @@
             return
         if self.reader is not None and not self.reader.reusable:
             self.reusable = False
-        if self._is_mismatched(response):
+        if _is_mismatched(self, response):
             self._skip_or_fail_mismatched()
             return
-        if not self.request_written:
+        if self.writer is None or not self.writer.is_done:
             # The upstream would take the next request for the rest of the
             # body. A body that has arrived here may still wait to be written.
             self.reusable = False
@@ -213,57 +155,21 @@
         self._fail_call(FailureCause.MALFORMED, detail)
         self.abort()
 
-    def _start_call(self, call: Call) -> asyncio.Task[None] | None:
+    def body_truncated(self) -> None:
+        """Fail the call because the caller disconnected during its body."""
+        self._fail_call(FailureCause.CALLER_GONE, 'body was cut')
+        self.abort()
+
+    def _start_call(self, call: Call) -> None:
         if self.is_closed:
             self._fail_call(FailureCause.CLOSED, 'closed before the call')
-            return None
+            return
         self.sent = True
-        self.request_written = False
-        self.written_bytes = 0
         self.calls += 1
         self.reader = ResponseReader(
             self, self.budget, bodiless=call.method == b'HEAD'
         )
-        head = call.encode_head()
-        if call.body.complete and call.body.replayable:
-            self.write(head + b''.join(call.body.chunks))
-            self.written_bytes = call.body.received_bytes
-            self.request_written = True
-            return None
-        self.write(head)
-        return self.loop.create_task(
-            self._write_body(call, is_chunked=call.is_chunked)
-        )
-
-    async def _write_body(self, call: Call, *, is_chunked: bool) -> None:
-        """Write the body, framed as the head says.
-
-        The body can be complete by the time it is written, so its state does
-        not tell the framing any more.
-        """
-        frame_chunk = _encode_chunk if is_chunked else bytes
-        try:
-            async for chunk in call.body.iter_chunks():
-                await self.writable.wait()
-                self.write(frame_chunk(chunk))
-                self.written_bytes += len(chunk)
-        except TruncatedBodyError:
-            self._fail_call(FailureCause.CALLER_GONE, 'body was cut')
-            self.abort()
-            return
-        if is_chunked:
-            self.write(LAST_CHUNK)
-        self.request_written = True
-
-    def _is_mismatched(self, response: Response) -> bool:
-        if self.call is None or self.call.expected_header is None:
-            return False
-        name, expected = self.call.expected_header
-        actual = response.fields.get(name.lower())
-        if actual is None:
-            # The first response on a connection belongs to its first request.
-            return self.calls > 1
-        return actual != expected
+        self.writer = RequestWriter(call, self, self.body_truncated)
 
     def _skip_or_fail_mismatched(self) -> None:
         if self.calls > 1 and self.reusable:
@@ -281,14 +187,15 @@
         self.waiter.set_result(Err(failure))
 
     def _end_call(self) -> None:
-        if self.call is not None:
-            arrived_bytes = self.call.body.received_bytes
-            self.unwritten_bytes = arrived_bytes - self.written_bytes
         self.call = None
         self.waiter = None
         if self.reader is not None:
             self.reader.close()
         self.reader = None
+        if self.writer is not None:
+            self.writer.cancel()
+            if self.writer.is_done:
+                self.writer = None
         self.idle_since = self.loop.time()
         if not self.reusable:
             self.abort()
@@ -321,8 +228,16 @@
     return Ok(connection)
 
 
-def _encode_chunk(chunk: bytes) -> bytes:
-    return b'%x\r\n%b\r\n' % (len(chunk), chunk)
+def _is_mismatched(connection: ClientConnection, response: Response) -> bool:
+    """Return whether a response belongs to another request."""
+    if connection.call is None or connection.call.expected_header is None:
+        return False
+    name, expected = connection.call.expected_header
+    actual = response.fields.get(name.lower())
+    if actual is None:
+        # The first response on a connection belongs to its first request.
+        return connection.calls > 1
+    return actual != expected
 
 
 def keep_alive_s(response: Response) -> float | None:
