Send the rest of an upload behind its early success

An upload that its upstream had answered with a success before it had read it arrived there in part: the caller got 200, and the upstream, which kept the connection to read on, got a reset.

Cause: a call ended with its answer, not with the later of its answer and its request. The task that writes the body was cancelled, and what still came from the caller was discarded. A body behind the last answer of its connection was not even marked as complete when it was.

A success leaves the connection to that task now, until the body is written, its caller has gone, the upstream has closed, or the deadline of the request is past; then the connection ends. A failure still ends it at once, also an unsigned success, which callers get as 502. A planned stop waits for such requests. The event request_body_cut tells when a rest was not sent.

Before: test_early_success_does_not_cut_the_upload failed with a length and in chunks (nothing received whole, of bytes); the tests of its other ends passed, and guard the change. With the change but without the mark, the test of the last upload of a connection failed in chunks.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -259,6 +259,12 @@
         logging.INFO,
         'An upstream answered before its request was sent whole.',
     )
+    REQUEST_BODY_CUT = Event(
+        309,
+        'request_body_cut',
+        logging.WARNING,
+        'An upstream answered an upload early and did not get the rest.',
+    )
     SHARE_SLOT_ACQUIRED = Event(
         401,
         'share_slot_acquired',
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -33,7 +33,7 @@
 )
 from egretmill.shares.accounts import Limited
 
-__all__ = ('Exchange',)
+__all__ = ('Exchange', 'finish_request')
 
 #: Limit for opening a connection, in seconds; excludes the latency between
 #: regions.
@@ -65,6 +65,8 @@
         budget.
     :param tried: upstreams that got the request.
     :param failed_response: error response of the last attempt, if any.
+    :param unfinished: connection of the request if it was answered before its
+        body was sent.
     """
 
     state: HostState
@@ -77,6 +79,7 @@
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     failed_response: Response | None = None
+    unfinished: ClientConnection | None = None
 
     async def run(self) -> Result[Response, Refusal]:
         """Return the response for the caller, or the refusal."""
@@ -241,6 +244,7 @@
         self.maybe_run = self.maybe_run or attempt_result.maybe_run
         if attempt_result.response is not None:
             return Ok(attempt_result.response)
+        _cut_request(self)
         self.failed_response = attempt_result.failed_response
         return Err(attempt_result.refusal or self._timeout_refusal())
 
@@ -293,6 +297,8 @@
             self.state.pool.close_unused_since(record.name, now)
         else:
             _log_early_answer(self, record.name, connection, attempted.ok_value)
+        if connection.sends_rest:
+            self.unfinished = connection
         self.state.pool.release(selected.load, connection)
         return attempted
 
@@ -378,6 +384,30 @@
         return Refusal.not_run(failure)
 
 
+async def finish_request(exchange: Exchange) -> None:
+    """Send the rest of a body whose request was answered early."""
+    if exchange.unfinished is None:
+        return
+    body = exchange.pending.body
+    deadline_at = exchange.accepted.deadline_at
+    if not await exchange.unfinished.finish_request(deadline_at):
+        log_event(
+            events.CATALOGUE.REQUEST_BODY_CUT,
+            request_id=exchange.accepted.request_id.decode('latin-1'),
+            body_arrived=body.complete,
+            arrived_bytes=body.received_bytes,
+            left_ms=int(exchange.remaining_s * 1000),
+        )
+    body.discard()
+
+
+def _cut_request(exchange: Exchange) -> None:
+    """Send no more of a body whose early answer is not passed on."""
+    if exchange.unfinished is not None:
+        exchange.unfinished.abort()
+        exchange.unfinished = None
+
+
 def _record_latency(
     exchange: Exchange, selected: SelectedUpstream, took_s: float
 ) -> None:
@@ -470,5 +500,6 @@
         body_arrived=body.complete,
         arrived_bytes=body.received_bytes,
         unwritten_bytes=writer.unwritten_bytes,
+        continued=connection.sends_rest,
         kept=connection.is_usable,
     )
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -8,7 +8,7 @@
 
 from egretmill import events
 from egretmill.host.answers import Refusal, refusal_response
-from egretmill.host.exchange import Exchange
+from egretmill.host.exchange import Exchange, finish_request
 from egretmill.host.request_check import AcceptedRequest, check_request
 from egretmill.host.state import HostState
 from egretmill.http1 import (
@@ -49,6 +49,14 @@
         """Return whether connections close after the next answer."""
         return self.state.leaving
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether callers are connected or requests are forwarded.
+
+        The rest of a body can still be forwarded when its caller has gone.
+        """
+        return bool(self.connections or self.tasks)
+
     def connection_opened(self, connection: ServerConnection) -> None:
         """Track a new connection; close idle ones if there are too many.
 
@@ -110,6 +118,7 @@
             self.refuse(pending, served.err_value, accepted, exchange)
             return
         self.answer(pending, accepted, exchange, served.ok_value)
+        await finish_request(exchange)
 
     def answer(
         self,
@@ -134,7 +143,8 @@
             version=accepted.version,
             took_ms=int(took_s * 1000),
         )
-        pending.answer(response)
+        keeps_body = exchange.unfinished is not None
+        pending.answer(response, keeps_body=keeps_body)
 
     def refuse(
         self,
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -259,7 +259,7 @@
         for connection in tuple(self.handler.connections):
             drain(connection)
         drain_until = now + grace_s * DRAIN_FRACTION
-        while self.handler.connections and self.state.now() < drain_until:
+        while self.handler.is_busy and self.state.now() < drain_until:
             await asyncio.sleep(POLL_INTERVAL_S)
         log_event(
             events.CATALOGUE.STOPPED,
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -16,6 +16,9 @@
 __all__ = ('CallFailure', 'ClientConnection', 'FailureCause', 'connect')
 
 
+FIRST_ERROR_STATUS = 400
+
+
 class FailureCause(enum.StrEnum):
     """Why a call got no complete response."""
 
@@ -51,6 +54,10 @@
 
     :param idle_since: loop time at which the last call ended.
     :param received_at: loop time at which the last bytes arrived, 0 at first.
+    :param sends_rest: the last call was answered with a success before its body
+        was written; :meth:`finish_request` sends the rest.
+    :param closed: its result is why the connection was lost, if there is a
+        reason.
     :param writer: writes the current request; afterwards, ``None`` if the whole
         request was written.
     :param keep_alive_s: how long the upstream keeps an idle connection open, in
@@ -70,6 +77,10 @@
         self.waiter: asyncio.Future[CallResult] | None = None
         self.sent = False
         self.reusable = True
+        self.sends_rest = False
+        self.closed: asyncio.Future[Exception | None] = (
+            self.loop.create_future()
+        )
         self.idle_since = self.loop.time()
         self.received_at = 0.0
         self.keep_alive_s: float | None = None
@@ -84,7 +95,8 @@
         """Send a request and return its whole response.
 
         Cancelling the call resets the connection, so that the upstream can
-        stop working on the request.
+        stop working on the request. If ``sends_rest`` is set afterwards, call
+        :meth:`finish_request` or :meth:`abort`.
         """
         waiter: asyncio.Future[CallResult] = self.loop.create_future()
         self.call = call
@@ -102,15 +114,44 @@
             timer.cancel()
             self._end_call()
 
+    async def finish_request(self, deadline_at: float) -> bool:
+        """Send the rest of a request that was answered early, and close.
+
+        Return whether all of it was sent.
+
+        :param deadline_at: loop time at which the rest is given up.
+        """
+        writer = self.writer
+        if writer is None or writer.task is None:
+            return True
+        is_whole = False
+        try:
+            async with asyncio.timeout_at(deadline_at):
+                await asyncio.wait(
+                    (writer.task, self.closed),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                is_whole = writer.is_done
+                self.close()
+                await asyncio.wait((self.closed,))
+        except TimeoutError:
+            return False
+        finally:
+            writer.cancel()
+            self.abort()
+        return is_whole and self.closed.result() is None
+
     def abort(self) -> None:
         """Reset the connection."""
         self.reusable = False
+        self.sends_rest = False
         self.reset()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call unless the close is the end of its response."""
         self.transport = None
         self.writable.set()
+        self.closed.set_result(exc)
         if self.reader is not None and exc is None:
             self.reader.connection_closed()
         self._fail_call(FailureCause.CLOSED, str(exc or 'closed'))
@@ -121,6 +162,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reset the connection if no call is running."""
+        if self.sends_rest:
+            # Bytes behind the answer belong to no request.
+            return
         if self.reader is None or self.waiter is None or self.waiter.done():
             self.abort()
             return
@@ -142,6 +186,7 @@
             # The upstream would take the next request for the rest of the
             # body. A body that has arrived here may still wait to be written.
             self.reusable = False
+            self.sends_rest = response.status < FIRST_ERROR_STATUS
         self.keep_alive_s = keep_alive_s(response)
         self.waiter.set_result(Ok(response))
 
@@ -192,11 +237,13 @@
         if self.reader is not None:
             self.reader.close()
         self.reader = None
+        self.idle_since = self.loop.time()
+        if self.sends_rest:
+            return
         if self.writer is not None:
             self.writer.cancel()
             if self.writer.is_done:
                 self.writer = None
-        self.idle_since = self.loop.time()
         if not self.reusable:
             self.abort()
 
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -104,14 +104,15 @@
         """Return whether the caller has disconnected."""
         return self.connection.transport is None
 
-    def answer(self, response: Response) -> None:
+    def answer(self, response: Response, *, keeps_body: bool = False) -> None:
         """Send the answer once all earlier requests are answered.
 
-        What is left of the body is discarded, so that the connection stays
-        usable.
+        :param keeps_body: the rest of the body is still wanted. Otherwise, it
+            is discarded, so that the connection stays usable.
         """
         self.response = response
-        self.body.discard()
+        if not keeps_body:
+            self.body.discard()
         self.connection.flush()
 
 
@@ -178,7 +179,7 @@
         #: No request has been taken yet.
         self.is_new = True
         #: The last answer is sent, and the rest of its request is still being
-        #: read and discarded before the close.
+        #: read before the close.
         self.lingering = False
         self.timer = ReadTimer(self)
 
@@ -269,17 +270,17 @@
             self.set_reading(enabled=False)
 
     def request_received(self) -> None:
-        """Complete the request, or close after its discarded rest."""
+        """Complete the request, and close if its answer was the last."""
         pending = self.receiving
         self.receiving = None
         if pending is None:
             return
+        pending.body.mark_complete()
         if self.lingering:
             self.shut_down()
             return
         if not pending.keep_alive:
             self.closing = True
-        pending.body.mark_complete()
         self.flush()
 
     def flush(self) -> None:
