Answer requests behind an early answered upload in a planned stop

Cause: a stop sets a connection that is receiving or serving a request to take no more, since its last answer tells the caller to close. The answer to an upload that is still arriving can have been sent before; then no answer that could tell it is due, and nothing ends the connection.

Ruled out: a loss of the request on the way (the record of the case has it behind the whole upload on the same connection), and a late upload: the body had been read whole.

A stopping connection drops requests only while an answer is due now, since that answer closes. Otherwise it takes one more, which is served if it comes within 0.25 s of the end of the stop's first half, and refused at once with 503, the promise that it has not run, if it comes later; until now, a slow head was served at any time, up to the cut. Without such a request, the connection is closed 0.25 s after the body. An early failure says in a stop that the connection closes; an early success does not, as a caller that is told so need not send the rest of its body.

--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from egretmill import events
+from egretmill.errors import ErrorKind, Failure
 from egretmill.host.answers import Refusal, refusal_response
 from egretmill.host.exchange import Exchange, finish_request
 from egretmill.host.request_check import AcceptedRequest, check_request
@@ -24,6 +25,8 @@
 #: Fraction of the file descriptors for connections of callers; the others are
 #: for upstreams, the store and files.
 CALLER_DESCRIPTOR_FRACTION = 0.6
+#: Retry-After of a host that is leaving, in seconds: others serve at once.
+LATE_RETRY_S = 0.05
 #: Idle connections to close when the limit is exceeded.
 IDLE_CLOSED_AT_ONCE = 4
 
@@ -86,6 +89,10 @@
 
     def start_request(self, pending: PendingAnswer) -> None:
         """Check a request and start its exchange, or refuse it."""
+        if pending.is_late:
+            failure = Failure(ErrorKind.SHUTTING_DOWN, 'host is leaving')
+            self.refuse(pending, Refusal.not_run(failure, LATE_RETRY_S))
+            return
         accepted = check_request(pending.head, self.state, self.rng)
         if isinstance(accepted, Err):
             self.refuse(pending, accepted.err_value)
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -95,6 +95,8 @@
         self.head = head
         self.body = body
         self.keep_alive = True
+        #: The connection drains, and the request came too late to be served.
+        self.is_late = False
         self.response: Response | None = None
         #: Called if the caller disconnects before the answer.
         self.on_disconnect: Any = None
@@ -174,8 +176,8 @@
         self.queue: collections.deque[PendingAnswer] = collections.deque()
         self.receiving: PendingAnswer | None = None
         self.closing = False
-        #: Requests that are still taken, ``None`` for any number.
-        self.remaining_requests: int | None = None
+        #: Loop time from which requests are late; ``None`` before the drain.
+        self.late_from: float | None = None
         #: No request has been taken yet.
         self.is_new = True
         #: The last answer is sent, and the rest of its request is still being
@@ -235,14 +237,16 @@
         """Start to serve the request."""
         if self.closing or self.transport is None:
             return
-        if self.remaining_requests is not None:
-            if not self.remaining_requests:
-                return
-            self.remaining_requests -= 1
+        if self.late_from is not None and self.queue:
+            # Behind the last answer, which will close the connection.
+            return
         self.is_new = False
         head.received_at = self.loop.time()
         pending = PendingAnswer(self, head, Body(self.resume_reading))
         pending.keep_alive = keep_alive
+        pending.is_late = (
+            self.late_from is not None and head.received_at >= self.late_from
+        )
         length = head.fields.get(b'content-length', b'0')
         length_bytes = parse_count(length)
         limit_bytes = self.handler.limits.body_bytes
@@ -282,6 +286,8 @@
         if not pending.keep_alive:
             self.closing = True
         self.flush()
+        if self.late_from is not None and not self.queue:
+            _close_if_unused_later(self)
 
     def flush(self) -> None:
         """Send the answers whose earlier requests are all answered.
@@ -347,22 +353,26 @@
 def drain(connection: ServerConnection) -> None:
     """Close a connection once the requests that it has taken are answered.
 
-    A caller that has just connected, or that is sending a head, may still
-    send this request. Those behind the last answer count as unprocessed.
+    Requests behind the last answer count as unprocessed. Without an answer
+    that can tell its caller of the close, a connection takes one more: of a
+    caller that has just connected or is sending a head, and of one whose
+    request was answered while its body still arrives.
     """
+    connection.late_from = connection.loop.time() + FIRST_REQUEST_WAIT_S
     if connection.is_serving:
-        connection.remaining_requests = 0
-    elif connection.is_new or connection.reader.reading_head:
-        connection.remaining_requests = 1
-        connection.loop.call_later(
-            FIRST_REQUEST_WAIT_S, _close_unused, connection
-        )
+        return
+    if connection.is_new or connection.reader.reading_head:
+        _close_if_unused_later(connection)
     else:
         connection.shut_down()
 
 
+def _close_if_unused_later(connection: ServerConnection) -> None:
+    connection.loop.call_later(FIRST_REQUEST_WAIT_S, _close_unused, connection)
+
+
 def _close_unused(connection: ServerConnection) -> None:
-    if connection.remaining_requests and not connection.reader.reading_head:
+    if not connection.is_busy:
         connection.shut_down()
 
 
@@ -372,15 +382,17 @@
     """Return whether the connection must be closed after an answer.
 
     Only the last answer closes it: callers treat requests behind an answer
-    with ``Connection: close`` as unprocessed and send them again.
+    with ``Connection: close`` as unprocessed and send them again. They also
+    stop sending a body, so an answer does not close as long as the rest of
+    the body is wanted.
     """
     if connection.queue or connection.receiving not in {None, pending}:
         return False
     if not pending.keep_alive or connection.closing:
         return True
-    if connection.remaining_requests == 0:
-        return True
-    return connection.handler.leaving and pending.body.complete
+    if pending is connection.receiving and not pending.body.discarded:
+        return False
+    return connection.late_from is not None or connection.handler.leaving
 
 
 def _has_due_answer(queue: 'collections.deque[PendingAnswer]') -> bool:
--- a/tests/host/test_handler.py
+++ b/tests/host/test_handler.py
@@ -4,7 +4,7 @@
 
 from egretmill.host.handler import EntryHandler
 from egretmill.host.state import HostState
-from tests.host.fakes import DIALECT, SETTINGS
+from tests.host.fakes import DIALECT, SETTINGS, make_head
 
 
 class FakeConnection:
@@ -22,6 +22,19 @@
         self.handler.connection_closed(self)
 
 
+class FakePending:
+    """A request that came too late to a host that is leaving."""
+
+    def __init__(self):
+        self.head = make_head()
+        self.is_late = True
+        self.response = None
+
+    def answer(self, response):
+        """Record the answer."""
+        self.response = response
+
+
 def make_handler(descriptors):
     """Return a handler with a limit of file descriptors."""
     settings = dataclasses.replace(SETTINGS, descriptors=descriptors)
@@ -52,3 +65,15 @@
     for connection in connections:
         handler.connection_opened(connection)
     assert len(handler.connections) == 20
+
+
+def test_late_request_in_a_stop_is_refused_with_a_promise():
+    """Guards against requests that a stop would cut off at their upstream."""
+    handler = make_handler(descriptors=20)
+    pending = FakePending()
+    handler.start_request(pending)
+    response = pending.response
+    assert response.status == 503
+    assert response.fields[b'x-egretmill-outcome'] == b'not-run'
+    assert float(response.fields[b'retry-after']) < 1
+    assert not handler.tasks
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -174,6 +174,88 @@
         assert len(recorder.requests) == 1
 
 
+async def start_answered_upload(recorder, reader, writer, **options):
+    """Send a part of an upload, and read the answer to it."""
+    writer.write(b'POST /u HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345')
+    await wait_until(lambda: recorder.requests)
+    recorder.requests[0].answer(ok_response(b'early'), **options)
+    return await read_response(reader)
+
+
+async def test_request_behind_an_answered_upload_is_answered_in_a_stop():
+    """Guards against a request that is read in a stop and never answered.
+
+    The upload was answered before the stop, so no answer of the connection
+    has told its caller to close it.
+    """
+    recorder = Recorder()
+    async with serve_connection(recorder) as (reader, writer):
+        head, _ = await start_answered_upload(recorder, reader, writer)
+        assert b'Connection: close' not in head
+        recorder.leaving = True
+        drain(recorder.connections[0])
+        await asyncio.sleep(0.05)
+        writer.write(b'67890' + GET_B + GET_A)
+        await wait_until(lambda: len(recorder.requests) == 2)
+        recorder.requests[1].answer(ok_response(b'next'))
+        head, body = await read_response(reader)
+        assert (b'Connection: close' in head, body) == (True, b'next')
+        assert not await reader.read()
+        assert len(recorder.requests) == 2
+
+
+async def test_late_request_of_a_draining_connection_is_marked():
+    """Guards against requests that a stop takes too late to serve them."""
+    recorder = Recorder()
+    async with serve_connection(recorder) as (reader, writer):
+        await start_answered_upload(recorder, reader, writer)
+        recorder.leaving = True
+        drain(recorder.connections[0])
+        await asyncio.sleep(1.2 * FIRST_REQUEST_WAIT_S)
+        writer.write(b'67890' + GET_B)
+        await wait_until(lambda: len(recorder.requests) == 2)
+        assert recorder.requests[1].is_late
+        assert not recorder.requests[0].is_late
+
+
+async def test_connection_behind_an_answered_upload_is_closed_in_a_stop():
+    """Guards against a stop that waits for callers that send nothing more."""
+    recorder = Recorder()
+    async with serve_connection(recorder) as (reader, writer):
+        await start_answered_upload(recorder, reader, writer)
+        recorder.leaving = True
+        drain(recorder.connections[0])
+        writer.write(b'67890')
+        async with asyncio.timeout(2 * FIRST_REQUEST_WAIT_S):
+            assert not await reader.read()
+
+
+async def test_early_answer_in_a_stop_says_that_the_connection_closes():
+    """Guards against callers that keep a connection to a stopping host."""
+    recorder = Recorder(leaving=True)
+    async with serve_connection(recorder) as (reader, writer):
+        head, _ = await start_answered_upload(recorder, reader, writer)
+        assert b'Connection: close' in head
+        writer.write(b'67890')
+        assert not await reader.read()
+
+
+async def test_caller_whose_body_is_wanted_is_not_told_to_close_in_a_stop():
+    """Guards against callers that cut an upload because of its early answer."""
+    recorder = Recorder(leaving=True)
+    async with serve_connection(recorder) as (reader, writer):
+        head, _ = await start_answered_upload(
+            recorder, reader, writer, keeps_body=True
+        )
+        assert b'Connection: close' not in head
+        drain(recorder.connections[0])
+        writer.write(b'67890' + GET_B)
+        await wait_until(lambda: len(recorder.requests) == 2)
+        assert recorder.requests[0].body.chunks == [b'12345', b'67890']
+        recorder.requests[1].answer(ok_response())
+        assert b'Connection: close' in (await read_response(reader))[0]
+
+
 async def test_connection_without_a_request_is_closed_in_a_stop():
     """Guards against idle connections that prolong a stop."""
     recorder = Recorder(leaving=True)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -18,6 +18,8 @@
 ADDRESS = '127.0.0.1'
 TIMEOUT_S = 20
 CALLERS = 16
+UPLOAD_BYTES = 3 << 20
+PIECE_BYTES = 65536
 MAX_REQUESTS = 400
 #: Time for applying a version by the contract of the users, in seconds.
 TIME_TO_APPLY_S = 2.5
@@ -64,11 +66,15 @@
 
 
 class Upstream:
-    """An upstream that answers after a delay and records its requests."""
+    """An upstream that answers after a delay and records its requests.
+
+    Of a longer body, it reads ``early_bytes`` before it answers.
+    """
 
     def __init__(self):
         self.request_ids = []
         self.delay_s = 0
+        self.early_bytes = 65536
 
     async def serve(self, reader, writer):
         """Serve one connection."""
@@ -84,12 +90,16 @@
         head = await reader.readuntil(b'\r\n\r\n')
         identifier = find_header(head, b'egretmill-request-id')
         self.request_ids.append(identifier)
+        length = int(find_header(head, b'content-length') or 0)
+        early_bytes = min(length, self.early_bytes)
+        await reader.readexactly(early_bytes)
         await asyncio.sleep(self.delay_s)
         writer.write(
             b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n'
             b'Egretmill-Response-Signature: s\r\n'
             b'Egretmill-Request-Id: %b\r\n\r\nyes' % identifier,
         )
+        await reader.readexactly(length - early_bytes)
 
 
 def find_header(head, name):
@@ -422,6 +432,56 @@
     assert content.count(b'Connection: close') == 1
 
 
+async def request_after_upload(environment, upload_s):
+    """Send an upload that is answered early, then a request.
+
+    Return the status of the request, and whether its answer closes.
+
+    :param upload_s: duration of the upload, in seconds.
+    """
+    reader, writer = await asyncio.open_connection(
+        ADDRESS, environment.ports['entry']
+    )
+    pieces = UPLOAD_BYTES // PIECE_BYTES
+    head = b'Host: h\r\nAuthorization: Bearer k1\r\nEgretmill-Request-Id: '
+    with contextlib.closing(writer):
+        writer.write(
+            b'POST /a/1 HTTP/1.1\r\n%bup\r\nContent-Length: %d\r\n\r\n'
+            % (head, UPLOAD_BYTES)
+        )
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        for number in range(1, pieces + 1):
+            writer.write(bytes(PIECE_BYTES))
+            due_at = started_at + upload_s * number / pieces
+            await asyncio.sleep(due_at - loop.time())
+        early = await reader.readuntil(b'\r\n\r\nyes')
+        assert early.startswith(b'HTTP/1.1 200')
+        assert find_header(early, b'connection') != b'close'
+        writer.write(b'GET /a/2 HTTP/1.1\r\n%bnext\r\n\r\n' % head)
+        answer = await reader.readuntil(b'\r\n\r\n')
+        closes = find_header(answer, b'connection') == b'close'
+        return int(answer.split()[1]), closes
+
+
+async def test_requests_behind_answered_uploads_are_answered_in_a_stop(
+    environment,
+):
+    """Guards against requests that a stopping host reads and never answers.
+
+    The second upload ends when the host takes no more requests.
+    """
+    callers = [
+        asyncio.create_task(request_after_upload(environment, upload_s))
+        for upload_s in (1.5, 3.4)
+    ]
+    await asyncio.sleep(0.5)
+    environment.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(TIMEOUT_S):
+        assert await asyncio.gather(*callers) == [(200, True), (503, True)]
+        assert await environment.process.wait() == 0
+
+
 async def test_store_outage_refuses_keyed_requests(environment):
     """Guards against accepting keys that the store no longer confirms."""
     environment.store.faults.status = 503
