Send the rest of an early answered upload in the entry program too

An upload through egretmill-entry that its upstream had answered with a success before it had read it arrived there in part, although its caller went on sending: 130,947 of 16,777,216 bytes in the new test.

Cause: as in the host program, a call ended with its answer, and the task that writes the request was cancelled. The call ends now when the request has been sent as well, or at its deadline; a failure still ends it at once.

Before: the new test failed for 200 and passed for 403. After: 7 passed in tests/entry/test_uploads.py, three runs.

--- a/egretmill/entry/upstream_call.py
+++ b/egretmill/entry/upstream_call.py
@@ -36,6 +36,7 @@
 STREAM_BUFFER_BYTES = 1048576
 UNLIMITED_BYTES = 1 << 50
 MIN_FINAL_STATUS = 200
+FIRST_ERROR_STATUS = 400
 
 
 class ChunkSource(Protocol):
@@ -125,6 +126,8 @@
             async with self.timeout:
                 return await self.run_without_deadline(headers, body, connect_s)
         except TimeoutError:
+            if self.is_complete:
+                return self.make_end(None, 'the rest of the body was cut')
             return self.make_end(ErrorKind.UPSTREAM_TIMEOUT, 'deadline')
         finally:
             self.abort()
@@ -248,8 +251,14 @@
             self.abort()
 
     def finish(self) -> None:
-        """Mark the answer as complete and stop sending the request."""
+        """Mark the answer as complete; a failure ends the request too.
+
+        An upstream can answer with a success before it has read the whole
+        body. :meth:`run` ends when it has been sent the rest.
+        """
         self.is_complete = not self.abort_reason
+        if self.is_complete and self.status < FIRST_ERROR_STATUS:
+            return
         if self.writer is not None and not self.writer.done():
             self.abort()
 
--- a/tests/entry/test_uploads.py
+++ b/tests/entry/test_uploads.py
@@ -1,14 +1,20 @@
 """Streamed bodies: bounded memory, backpressure and cut uploads."""
 
 import asyncio
+import contextlib
 import json
 
+import pytest
 import xxhash
 
 from egretmill.entry.body import StreamedBody
-from tests.entry.harness import KEY, running_entry
+from tests.entry.harness import ADDRESS, KEY, running_entry
 
 SIZE = 16777216
+#: Time between an early answer and the rest of the body, in seconds.
+READS_ON_AFTER_S = 0.2
+#: Longest wait for the end of an upload, in seconds.
+WAIT_S = 5.0
 
 
 def upload_head(size: int) -> bytes:
@@ -29,6 +35,49 @@
         assert arrived['xxh3'] == xxhash.xxh3_64_hexdigest(body)
 
 
+@contextlib.asynccontextmanager
+async def run_early_upstreams(status):
+    """Run an entry program whose upstreams answer at once, and read on.
+
+    Yield the program and a future of the bytes that an upstream has read.
+    """
+    received = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\nok' % status)
+        await asyncio.sleep(READS_ON_AFTER_S)
+        size = 0
+        with contextlib.suppress(ConnectionError):
+            while size < SIZE and (piece := await reader.read(65536)):
+                size += len(piece)
+        writer.close()
+        received.set_result(size)
+
+    server = await asyncio.start_server(serve, ADDRESS, 0)
+    async with running_entry() as entry:
+        port = server.sockets[0].getsockname()[1]
+        entry.move_upstreams({'address': ADDRESS, 'port': port})
+        yield entry, received
+    server.close()
+
+
+@pytest.mark.parametrize(('status', 'is_whole'), [(200, True), (403, False)])
+async def test_early_answer_ends_only_an_upload_that_has_failed(
+    status, is_whole
+):
+    """Guards against uploads that are answered 200 and arrive in part."""
+    async with run_early_upstreams(status) as (entry, received):
+        reader, writer = await asyncio.open_connection(ADDRESS, entry.port)
+        # The caller goes on with its body behind the answer.
+        writer.write(upload_head(SIZE) + b'u' * SIZE)
+        with contextlib.closing(writer):
+            status_line = await reader.readuntil(b'\r\n')
+            assert status_line.split()[1] == b'%d' % status
+            async with asyncio.timeout(WAIT_S):
+                assert (await received == SIZE) == is_whole
+
+
 async def test_upload_to_a_dead_upstream_is_retried_at_another():
     """Guards against an upload that fails although no byte was sent."""
     async with running_entry() as entry:
