--- a/tests/host/test_early_answers.py
+++ b/tests/host/test_early_answers.py
@@ -129,11 +129,14 @@
 
 
 @contextlib.asynccontextmanager
-async def run_host(answer, deadline_s=DEADLINE_S):
-    """Run a host in front of an upstream that answers uploads early."""
+async def run_host(answer, deadline_s=DEADLINE_S, upstreams=1):
+    """Run a host in front of upstreams that answer uploads early."""
     script = EarlyUpstream(answer)
     server = await asyncio.start_server(script.serve, ADDRESS, 0)
-    state = make_state(upstream(port=server.sockets[0].getsockname()[1]))
+    port = server.sockets[0].getsockname()[1]
+    state = make_state(
+        *(upstream(f'u{number}', port) for number in range(upstreams))
+    )
     route = dataclasses.replace(ONCE, timeout_s=deadline_s)
     routes = (route, *configuration().routes['h'])
     state.apply_configuration(
@@ -143,8 +146,8 @@
     front = await asyncio.get_running_loop().create_server(
         lambda: ServerConnection(handler), ADDRESS, 0
     )
-    port = front.sockets[0].getsockname()[1]
-    reader, writer = await asyncio.open_connection(ADDRESS, port)
+    front_port = front.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(ADDRESS, front_port)
     try:
         async with asyncio.timeout(LIMIT_S):
             yield Fixture(script, handler, reader, writer)
@@ -231,6 +234,20 @@
     run(check())
 
 
+def test_early_refusal_of_a_body_that_streams_is_not_repeated():
+    """Guards against the rest of a body as the whole one elsewhere."""
+
+    async def check():
+        async with run_host(response(503, NOT_RUN), upstreams=2) as fixture:
+            uploading = asyncio.create_task(fixture.upload())
+            assert await fixture.read_status() == 503
+            fixture.script.reads_on.set()
+            await uploading
+            assert len(fixture.script.writers) == 1
+
+    run(check())
+
+
 def test_caller_that_leaves_an_answered_upload_ends_it_at_the_upstream():
     """Guards against an upstream that waits for the rest of a body."""
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -218,6 +218,20 @@
         assert not recorder.requests[0].is_late
 
 
+async def test_slow_head_of_a_draining_connection_makes_its_request_late():
+    """Guards against a request that is taken when a stop is nearly over."""
+    recorder = Recorder(leaving=True)
+    async with serve_connection(recorder) as (_, writer):
+        writer.write(GET_A[:9])
+        await wait_until(lambda: recorder.connections)
+        await asyncio.sleep(0.05)
+        drain(recorder.connections[0])
+        await asyncio.sleep(1.2 * FIRST_REQUEST_WAIT_S)
+        writer.write(GET_A[9:])
+        await wait_until(lambda: recorder.requests)
+        assert recorder.requests[0].is_late
+
+
 async def test_connection_behind_an_answered_upload_is_closed_in_a_stop():
     """Guards against a stop that waits for callers that send nothing more."""
     recorder = Recorder()
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -68,13 +68,16 @@
 class Upstream:
     """An upstream that answers after a delay and records its requests.
 
-    Of a longer body, it reads ``early_bytes`` before it answers.
+    Of a longer body, it reads ``early_bytes`` before it answers, and the rest
+    after a pause.
     """
 
     def __init__(self):
         self.request_ids = []
         self.delay_s = 0
         self.early_bytes = 65536
+        self.pause_s = 0
+        self.received_bytes = 0
 
     async def serve(self, reader, writer):
         """Serve one connection."""
@@ -99,7 +102,9 @@
             b'Egretmill-Response-Signature: s\r\n'
             b'Egretmill-Request-Id: %b\r\n\r\nyes' % identifier,
         )
+        await asyncio.sleep(self.pause_s)
         await reader.readexactly(length - early_bytes)
+        self.received_bytes += length
 
 
 def find_header(head, name):
@@ -482,6 +487,28 @@
         assert await environment.process.wait() == 0
 
 
+async def test_planned_stop_sends_the_rest_of_an_answered_upload(environment):
+    """Guards against a process that ends before its last body is sent."""
+    environment.upstream.pause_s = 1.0
+    reader, writer = await asyncio.open_connection(
+        ADDRESS, environment.ports['entry']
+    )
+    writer.write(
+        b'POST /a/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\n'
+        b'Egretmill-Request-Id: up\r\nConnection: close\r\n'
+        b'Content-Length: %d\r\n\r\n' % UPLOAD_BYTES
+    )
+    writer.write(bytes(UPLOAD_BYTES))
+    async with asyncio.timeout(TIMEOUT_S):
+        early = await reader.readuntil(b'\r\n\r\nyes')
+        assert early.startswith(b'HTTP/1.1 200')
+        environment.process.send_signal(signal.SIGTERM)
+        await writer.drain()
+        writer.close()
+        assert await environment.process.wait() == 0
+    assert environment.upstream.received_bytes == UPLOAD_BYTES
+
+
 async def test_store_outage_refuses_keyed_requests(environment):
     """Guards against accepting keys that the store no longer confirms."""
     environment.store.faults.status = 503
