Send long uploads in the soak, and answer them early

Two checks are new: no other bytes in the place of a body, and no body that is cut behind a success without a fault.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 from soak.links import TcpLink
 from soak.operator import AUTHORITY, ROUTES, Operator, RouteSpec
 from soak.record import Record, RequestRecord
+from soak.uploads import BODY, LONG_BODY, encode_body
 from soak.upstreams import parse_fields
 
 __all__ = ('Caller',)
@@ -20,7 +21,8 @@
 #: Pause after a failed connection.
 RECONNECT_DELAY_S = 0.1
 LOOKUP_TIMEOUT_S = 1.0
-BODY = b'x' * 2000
+#: One of so many uploads of a caller is long.
+LONG_UPLOAD_INTERVAL = 5
 
 
 class Caller:
@@ -44,6 +46,7 @@
         self.account = rng.choice(sorted(operator.accounts))
         self.clock = asyncio.get_running_loop().time
         self.request_count = 0
+        self.upload_count = 0
         self.max_pause_s = 0.12
 
     async def run(self) -> None:
@@ -108,6 +111,23 @@
             writer.close()
         return json.loads(content)['Addresses']
 
+    def encode_request(self, request: RequestRecord, route: RouteSpec) -> bytes:
+        """Return the bytes of a request."""
+        framing, body = self.make_body(route)
+        affinity_key = self.rng.randrange(20)
+        return encode_head(request, route, affinity_key, framing) + body
+
+    def make_body(self, route: RouteSpec) -> tuple[str, bytes]:
+        """Return framing header and body; long ones in either framing."""
+        if route.kind == 'safe':
+            return encode_body(b'', is_chunked=False)
+        if route.kind == 'upload':
+            self.upload_count += 1
+            if not self.upload_count % LONG_UPLOAD_INTERVAL:
+                is_chunked = bool(self.upload_count % 2)
+                return encode_body(LONG_BODY, is_chunked=is_chunked)
+        return encode_body(BODY, is_chunked=False)
+
     async def send_request(
         self,
         host: str,
@@ -127,7 +147,7 @@
             host,
         )
         self.record.asked[request.request_id] = request
-        writer.write(encode_request(request, route, self.rng.randrange(20)))
+        writer.write(self.encode_request(request, route))
         try:
             async with asyncio.timeout(DEADLINE_S):
                 head, content = await read_answer(reader)
@@ -141,11 +161,10 @@
         return fields.get('connection') != 'close'
 
 
-def encode_request(
-    request: RequestRecord, route: RouteSpec, affinity_key: int
+def encode_head(
+    request: RequestRecord, route: RouteSpec, affinity_key: int, framing: str
 ) -> bytes:
-    """Return the bytes of a request."""
-    body = b'' if route.kind == 'safe' else BODY
+    """Return the bytes of a request up to its body."""
     method = 'GET' if route.kind == 'safe' else 'POST'
     return (
         f'{method} {route.prefix}{request.request_id} HTTP/1.1\r\n'
@@ -154,8 +173,8 @@
         f'Cookie: Egretmill-Affinity-Key={affinity_key}\r\n'
         f'Egretmill-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
         f'Authorization: Bearer {request.key}\r\n'
-        f'Content-Length: {len(body)}\r\n\r\n'
-    ).encode() + body
+        f'{framing}\r\n\r\n'
+    ).encode()
 
 
 async def read_answer(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -275,6 +275,32 @@
     return requests * RETRY_BUDGET_RATIO + RETRY_ALLOWANCE
 
 
+@invariant('own bodies')
+def check_foreign_bytes(record: Record) -> Iterator[str]:
+    """Yield bodies in whose place an upstream has read other bytes."""
+    for upload in record.uploads:
+        if upload.foreign:
+            yield f'{upload.request_id}: {upload.foreign[:40]!r}'
+
+
+@invariant('whole bodies')
+def check_whole_bodies(record: Record) -> Iterator[str]:
+    """Yield bodies that were cut although their callers got a success.
+
+    A fault since the request was sent excuses it, as does the end of the run.
+    """
+    for upload in record.uploads:
+        request = record.asked.get(upload.request_id)
+        if request is None or request.status != SUCCESS or upload.is_whole:
+            continue
+        start = request.sent_at - CONTACT_S
+        is_excused = upload.ended_at >= record.ends_at or record.overlaps_fault(
+            None, start, upload.ended_at
+        )
+        if not is_excused:
+            yield f'{upload.request_id} was cut at {upload.ended_at:.2f}'
+
+
 @invariant('configured requests')
 def check_denied(record: Record) -> Iterator[str]:
     """Yield refusals of what every configuration in force allows.
--- a/soak/record.py
+++ b/soak/record.py
@@ -15,6 +15,7 @@
     'Record',
     'RequestArrival',
     'RequestRecord',
+    'UploadEnd',
 )
 
 
@@ -74,6 +75,20 @@
     pause_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UploadEnd:
+    """How the body of a request ended at an upstream.
+
+    :param is_whole: the upstream has read it to its end.
+    :param foreign: other bytes that it has read in the place of the body.
+    """
+
+    request_id: str
+    ended_at: float
+    is_whole: bool
+    foreign: bytes = b''
+
+
 @dataclasses.dataclass(slots=True)
 class Key:
     """An API key and when the store accepted its changes.
@@ -100,7 +115,9 @@
     :param disturbed: spans in which hosts may have lost contact with each
         other or with the store.
     :param faults: spans and kinds of all faults, graceful restarts included.
+    :param uploads: ends of all bodies, empty ones included.
     :param calm_from: time after which no fault was active.
+    :param ends_at: time at which the run ends, and cuts what is left.
     """
 
     asked: dict[str, RequestRecord] = dataclasses.field(default_factory=dict)
@@ -117,7 +134,9 @@
     faults: list[tuple[float, float, str]] = dataclasses.field(
         default_factory=list,
     )
+    uploads: list[UploadEnd] = dataclasses.field(default_factory=list)
     calm_from: float = math.inf
+    ends_at: float = math.inf
 
     def is_undisturbed(self, start: float, end: float) -> bool:
         """Return whether a span overlaps no span of ``disturbed``."""
@@ -136,10 +155,10 @@
         return request.host
 
     def overlaps_fault(
-        self, kinds: Container[str], start: float, end: float
+        self, kinds: Container[str] | None, start: float, end: float
     ) -> bool:
-        """Return whether a span overlaps a fault of some kinds."""
+        """Return whether a span overlaps a fault of some kinds, or of any."""
         return any(
-            kind in kinds and begun < end and start < ended
+            (kinds is None or kind in kinds) and begun < end and start < ended
             for begun, ended, kind in self.faults
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -78,3 +78,4 @@
             group.create_task(fleet.run_fault(fault))
     fleet.record.calm_from = fleet.loop.time()
     await asyncio.sleep(RECOVERY_S)
+    fleet.record.ends_at = fleet.loop.time()
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -6,7 +6,8 @@
 import enum
 import random
 
-from soak.record import Execution, Notice, Record
+from soak.record import Execution, Notice, Record, UploadEnd
+from soak.uploads import ForeignBytesError, is_answered_early, read_body
 
 __all__ = ('AnswerMode', 'SoakUpstream')
 
@@ -30,6 +31,8 @@
 
 
 SLOW_FACTOR = 12
+#: Time between an early answer and the rest of the body.
+READS_ON_AFTER_S = 0.1
 #: Pause that a refusal asks for.
 PAUSE_S = 2.0
 #: Errors that end the service of a connection.
@@ -37,6 +40,7 @@
     asyncio.IncompleteReadError,
     OSError,
     asyncio.CancelledError,
+    ForeignBytesError,
 )
 
 
@@ -102,7 +106,43 @@
         """Serve one request; return whether the connection stays open."""
         head = await reader.readuntil(b'\r\n\r\n')
         fields = parse_fields(head)
-        await reader.readexactly(int(fields.get('content-length', '0')))
+        request_id = fields.get('egretmill-request-id', '')
+        if not is_answered_early(request_id, fields):
+            await self.read_body(request_id, reader, fields)
+            return await self.answer_request(head, fields, writer)
+        stays_open = await self.answer_request(head, fields, writer)
+        if stays_open:
+            await asyncio.sleep(READS_ON_AFTER_S)
+            await self.read_body(request_id, reader, fields)
+        return stays_open
+
+    async def read_body(
+        self,
+        request_id: str,
+        reader: asyncio.StreamReader,
+        fields: dict[str, str],
+    ) -> None:
+        """Read a body to its end, and record how it ended."""
+        is_whole = False
+        foreign = b''
+        try:
+            await read_body(reader, fields)
+            is_whole = True
+        except ForeignBytesError as error:
+            foreign = error.args[0]
+            raise
+        finally:
+            self.record.uploads.append(
+                UploadEnd(request_id, self.loop.time(), is_whole, foreign)
+            )
+
+    async def answer_request(
+        self,
+        head: bytes,
+        fields: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Run and answer a request; return whether the connection stays."""
         request_id = fields.get('egretmill-request-id', '')
         if fields.get('egretmill-target-instance', self.name) != self.name:
             writer.write(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -11,6 +11,7 @@
     Record,
     RequestArrival,
     RequestRecord,
+    UploadEnd,
 )
 
 KEY = 'k1'
@@ -186,3 +187,37 @@
     """Guards against seeds whose schedule cannot be reproduced."""
     assert draw_plan(3, 12) == draw_plan(3, 12)
     assert draw_plan(3, 12) != draw_plan(4, 12)
+
+
+def test_foreign_bytes_in_a_body_are_found():
+    """Guards against missing a request in the rest of an upload."""
+    record = make_record()
+    record.uploads.append(UploadEnd('1-1', 10.3, False, b'GET /views/1'))
+    assert 'own bodies' in violated_invariants(record)
+
+
+@pytest.mark.parametrize(
+    ('change', 'is_found'),
+    [
+        ({}, True),
+        ({'is_whole': True}, False),
+        ({'ended_at': 99.0}, False),
+        ({'request_id': 'of no caller'}, False),
+    ],
+    ids=['cut', 'whole', 'end of the run', 'of no caller'],
+)
+def test_body_that_is_cut_behind_its_success_is_found(change, is_found):
+    """Guards against missing uploads that arrive in part."""
+    record = make_record()
+    record.ends_at = 90.0
+    fields = {'request_id': '1-1', 'ended_at': 10.3, 'is_whole': False}
+    record.uploads.append(UploadEnd(**{**fields, **change}))
+    assert ('whole bodies' in violated_invariants(record)) == is_found
+
+
+def test_body_that_a_fault_has_cut_is_excused():
+    """Guards against reports of uploads that a crash has ended."""
+    record = make_record()
+    record.uploads.append(UploadEnd('1-1', 10.3, False))
+    record.faults.append((10.2, 10.4, 'upstream_crash'))
+    assert 'whole bodies' not in violated_invariants(record)
