End an answered upload whose rest is malformed at its upstream

Behind an early success, an upload whose rest was malformed kept its upstream waiting for more until the deadline of the request: the connection to the caller was closed, and the body was neither complete nor truncated.

The body counts as truncated now. The log event request_answered_early loses the field 'kept', which is always false now.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -501,5 +501,4 @@
         arrived_bytes=body.received_bytes,
         unwritten_bytes=writer.unwritten_bytes,
         continued=connection.sends_rest,
-        kept=connection.is_usable,
     )
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -341,6 +341,7 @@
             unreadable = PendingAnswer(self, self.reader.head, Body())
             self.queue.append(unreadable)
         elif unreadable.response is not None:
+            unreadable.body.mark_truncated()
             if not self.queue:
                 self.shut_down()
             return
--- a/tests/host/test_early_answers.py
+++ b/tests/host/test_early_answers.py
@@ -264,6 +264,25 @@
     run(check())
 
 
+def test_malformed_rest_of_an_answered_upload_ends_it_at_the_upstream():
+    """Guards against an upstream that waits for a body until its deadline."""
+
+    async def check():
+        async with run_host(response()) as fixture:
+            head = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+            chunk = b'%x\r\n%b\r\n' % (2 * MIB, b'u' * 2 * MIB)
+            fixture.writer.write(head + chunk)
+            assert await fixture.read_status() == 200
+            fixture.writer.write(b'not a chunk size\r\n')
+            assert not await fixture.reader.read()
+            fixture.script.reads_on.set()
+            async with asyncio.timeout(DEADLINE_S / 2):
+                await wait_until(lambda: fixture.script.cut)
+                await wait_until(lambda: not fixture.handler.is_busy)
+
+    run(check())
+
+
 def test_upstream_that_closes_does_not_hold_up_an_answered_caller():
     """Guards against a body buffer that nobody empties any more."""
 
