--- a/tests/http1/harness.py
+++ b/tests/http1/harness.py
@@ -47,6 +47,40 @@
         self.errors.append(status)
 
 
+class FakeTransport(asyncio.Transport):
+    """Keeps what a connection writes, up to its close."""
+
+    def __init__(self, protocol):
+        """Connect a protocol."""
+        super().__init__()
+        self.protocol = protocol
+        self.written = b''
+        self.closed = False
+        protocol.connection_made(self)
+
+    def write(self, content):
+        """Keep the bytes."""
+        if not self.closed:
+            self.written += content
+
+    def close(self):
+        """Close once; the protocol is told by the loop."""
+        if not self.closed:
+            self.closed = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.protocol.connection_lost, None)
+
+    abort = close
+
+    def is_closing(self):
+        """Return whether the connection is closed."""
+        return self.closed
+
+    def is_reading(self):
+        """Return whether bytes are taken."""
+        return True
+
+
 @contextlib.asynccontextmanager
 async def serve_connection(recorder):
     """Serve on a free port; yield the streams of a client connection."""
