--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -11,6 +11,11 @@
 from egretmill.fleet.upstreams import Upstream
 from egretmill.host import headers
 from egretmill.host.answers import Refusal
+from egretmill.host.exchange_log import (
+    log_cut_body,
+    log_early_answer,
+    log_routing_decision,
+)
 from egretmill.host.request_check import AcceptedRequest
 from egretmill.host.state import HostState
 from egretmill.host.attempt_result import AttemptResult, classify_attempt
@@ -155,7 +160,7 @@
     def _select_upstream(self) -> Result[SelectedUpstream, Refusal]:
         match self._choose_untried():
             case SelectedUpstream() as selected:
-                _log_routing_decision(self, selected)
+                log_routing_decision(self, selected)
                 return Ok(selected)
             case NoCapacity(wait_s):
                 failure = Failure(
@@ -296,7 +301,7 @@
         if isinstance(attempted, Err):
             self.state.pool.close_unused_since(record.name, now)
         else:
-            _log_early_answer(self, record.name, connection, attempted.ok_value)
+            log_early_answer(self, record.name, connection, attempted.ok_value)
         if connection.sends_rest:
             self.unfinished = connection
         self.state.pool.release(selected.load, connection)
@@ -388,17 +393,10 @@
     """Send the rest of a body whose request was answered early."""
     if exchange.unfinished is None:
         return
-    body = exchange.pending.body
     deadline_at = exchange.accepted.deadline_at
     if not await exchange.unfinished.finish_request(deadline_at):
-        log_event(
-            events.CATALOGUE.REQUEST_BODY_CUT,
-            request_id=exchange.accepted.request_id.decode('latin-1'),
-            body_arrived=body.complete,
-            arrived_bytes=body.received_bytes,
-            left_ms=int(exchange.remaining_s * 1000),
-        )
-    body.discard()
+        log_cut_body(exchange)
+    exchange.pending.body.discard()
 
 
 def _cut_request(exchange: Exchange) -> None:
@@ -451,54 +449,3 @@
             added,
         ),
     )
-
-
-def _log_routing_decision(
-    exchange: Exchange, selected: SelectedUpstream
-) -> None:
-    """Log the choice of an upstream with its inputs and their age."""
-    accepted = exchange.accepted
-    load = selected.load
-    now = exchange.state.now()
-    log_event(
-        events.CATALOGUE.REQUEST_ROUTED,
-        request_id=accepted.request_id.decode('latin-1'),
-        account=accepted.account_name,
-        service=accepted.service,
-        upstream=load.record.name,
-        domain=load.record.failure_domain,
-        attempt=exchange.attempts + 1,
-        version=accepted.version,
-        knowledge_age_s=round(exchange.state.view.configuration_age_s(), 3),
-        confirmed_by=exchange.state.view.configuration_freshness.source,
-        load=round(load.estimated_requests(now), 1),
-        report_age_s=round(min(now - load.reported_at, 999), 3),
-        slots=load.record.slots,
-        stated_rate_per_s=load.stated_limit.rate_per_s,
-        warm=selected.is_warm,
-        expected_ms=int(selected.expected_s * 1000),
-        left_ms=int(exchange.remaining_s * 1000),
-    )
-
-
-def _log_early_answer(
-    exchange: Exchange,
-    upstream: str,
-    connection: ClientConnection,
-    response: Response,
-) -> None:
-    """Log an answer if it came before the request was sent whole."""
-    writer = connection.writer
-    if writer is None:
-        return
-    body = exchange.pending.body
-    log_event(
-        events.CATALOGUE.REQUEST_ANSWERED_EARLY,
-        request_id=exchange.accepted.request_id.decode('latin-1'),
-        upstream=upstream,
-        status=response.status,
-        body_arrived=body.complete,
-        arrived_bytes=body.received_bytes,
-        unwritten_bytes=writer.unwritten_bytes,
-        continued=connection.sends_rest,
-    )
