--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -73,6 +73,13 @@
         logging.ERROR,
         'Changed settings are invalid; the previous ones stay in force.',
     )
+    LOAD_HIGH = Event(
+        109,
+        'load_high',
+        logging.WARNING,
+        'Many connections, a late event loop, a full link or failed accepts '
+        'in the last second; gives the figures.',
+    )
     CONFIGURATION_APPLIED = Event(
         201,
         'configuration_applied',
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -14,6 +14,7 @@
 from egretmill.host.state import HostState
 from egretmill.http1 import (
     ConnectionLimits,
+    ConnectionUsage,
     PendingAnswer,
     Response,
     ServerConnection,
@@ -41,6 +42,7 @@
         #: Open connections, the oldest first.
         self.connections: dict[ServerConnection, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.usage = ConnectionUsage()
 
     @property
     def limits(self) -> ConnectionLimits:
@@ -67,6 +69,7 @@
         other callers.
         """
         self.connections[connection] = None
+        self.state.metrics.accepted.inc()
         limit = self.state.settings.descriptors * CALLER_DESCRIPTOR_FRACTION
         if len(self.connections) <= limit:
             return
--- a/egretmill/host/metrics.py
+++ b/egretmill/host/metrics.py
@@ -67,6 +67,32 @@
             'Pauses that upstreams asked of this host.',
             ('service',),
         )
+        self.accepted = self._counter(
+            'accepted_connections', 'Connections of callers.', ()
+        )
+        self.accept_failures = self._counter(
+            'accept_failures',
+            'Connections that the entry listener could not accept.',
+            (),
+        )
+        self.connections = prometheus.Gauge(
+            'egretmill_connections',
+            'Open connections, of callers or to upstreams.',
+            ('kind',),
+            registry=self.registry,
+        )
+        self.requests = self._gauge(
+            'requests_in_progress', 'Requests of callers that are served.'
+        )
+        self.loop_busy = self._gauge(
+            'event_loop_busy_seconds',
+            'Longest iteration of the event loop in the last second.',
+        )
+        self.link_bytes = self._counter(
+            'link_bytes',
+            'Bytes of callers and upstreams that passed the link.',
+            ('direction',),
+        )
         self.log_lines_suppressed = self._counter(
             'log_lines_suppressed',
             'Log lines over the bound of the volume.',
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -2,27 +2,27 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import signal
-import socket
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Protocol
 
 from result import Err, Result
-from tornado import httpserver, web
+from tornado import web
 
 from egretmill import events
-from egretmill.fleet.freshness import boot_time
 from egretmill.fleet.view import Topic
-from egretmill.host.heartbeats import HeartbeatService
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.handler import EntryHandler
+from egretmill.host.heartbeats import HeartbeatService
+from egretmill.host.listeners import Listeners
+from egretmill.host.load_report import LoadReport
 from egretmill.host.metrics import HostMetrics
 from egretmill.host.peer_copies import CopyClient, make_copy_application
 from egretmill.host.roster_keeper import ROSTER_TABLE, RosterKeeper
 from egretmill.host.settings import Endpoint, HostSettings
 from egretmill.host.state import HostState
 from egretmill.host.state_updater import StateUpdater
-from egretmill.http1 import ServerConnection, drain
+from egretmill.http1 import drain
 from egretmill.log_volume import BoundedHandler
 from egretmill.logs import configure, log_event
 from egretmill.programs import StopSignals, omit_unused_log_fields
@@ -31,9 +31,6 @@
 
 __all__ = ('Adapter', 'HostProgram', 'run_host')
 
-#: Length of the queue of new connections; a full queue costs the caller
-#: seconds.
-CONNECTION_BACKLOG = 1024
 #: Polling of the roster: a copy counts as fresh for half of the roster's lease.
 ROSTER_POLL_TIMING = PollTiming(wait_s=0, interval_s=0.2, max_age_s=3.0)
 #: Fraction of the grace period for which a stopping host takes requests, as
@@ -76,30 +73,6 @@
         raise NotImplementedError
 
 
-class BootLoop(asyncio.SelectorEventLoop):
-    """Event loop whose clock also runs while the machine is suspended.
-
-    Otherwise, a suspension would not count towards callers' deadlines and the
-    age of data.
-    """
-
-    def time(self) -> float:
-        """Return the boot time in seconds."""
-        return boot_time()
-
-
-@dataclasses.dataclass(slots=True)
-class Listeners:
-    """Open listeners of the host."""
-
-    entry: asyncio.Server
-    http_servers: list[httpserver.HTTPServer]
-
-    def close(self) -> None:
-        """Close the entry listener."""
-        self.entry.close()
-
-
 class HostProgram:
     """All components of one host."""
 
@@ -109,6 +82,7 @@
         self.state = state
         self.updater = StateUpdater(state)
         self.handler = EntryHandler(state)
+        self.load = LoadReport(state, self.handler)
         self.keeper = RosterKeeper(state, adapter.store)
         self.heartbeats = HeartbeatService(
             state, self.trigger_read, self.updater.apply_changes
@@ -135,7 +109,9 @@
     async def run(self, signals: StopSignals) -> int:
         """Serve until the first signal, then shut down gracefully."""
         started_at = self.state.now()
-        listeners = await self.listen()
+        listeners = await Listeners.open(
+            self.state.settings.entry, self.handler, self.applications()
+        )
         log_event(
             events.CATALOGUE.STARTED,
             host=self.state.settings.name,
@@ -159,6 +135,7 @@
             run_supervised('join', self.keeper.join),
             run_supervised('keep', self.keeper.maintain),
             run_supervised('settings', self.watch_settings),
+            run_supervised('load', self.load.run),
             run_supervised('readiness', lambda: self.log_readiness(started_at)),
             *(
                 run_supervised(topic.value, watch.run)
@@ -166,25 +143,6 @@
             ),
         ]
 
-    async def listen(self) -> Listeners:
-        """Open all listeners."""
-        loop = asyncio.get_running_loop()
-        entry = self.state.settings.entry
-        server = await loop.create_server(
-            lambda: ServerConnection(self.handler),
-            entry.address,
-            entry.port,
-            family=socket.AF_INET,
-            backlog=CONNECTION_BACKLOG,
-            reuse_address=True,
-        )
-        http_servers = []
-        for endpoint, application in self.applications():
-            other = httpserver.HTTPServer(application)
-            other.listen(endpoint.port, endpoint.address)
-            http_servers.append(other)
-        return Listeners(server, http_servers)
-
     def applications(self) -> Sequence[tuple[Endpoint, web.Application]]:
         """Return the endpoints other than the entry."""
         settings = self.state.settings
@@ -313,6 +271,8 @@
     signals = StopSignals.install()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, program.reload)
+    if isinstance(loop, BootLoop):
+        program.load.observe(loop)
     return await program.run(signals)
 
 
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -12,6 +12,7 @@
     BufferBudget,
     CallFailure,
     ClientConnection,
+    ConnectionUsage,
     IdleConnections,
     connect,
 )
@@ -55,6 +56,7 @@
         self.cached_orders: dict[OrderKey, tuple[UpstreamLoad, ...]] = {}
         self.generation = -1
         self.buffers = BufferBudget()
+        self.usage = ConnectionUsage()
         self.round_trips = RoundTrips()
 
     def update(self, upstream: Upstream, before: Upstream | None) -> None:
@@ -161,7 +163,11 @@
             return Ok(connection)
         record = load.record
         opened = await connect(
-            record.address, record.port, timeout_s, self.buffers
+            record.address,
+            record.port,
+            timeout_s,
+            self.buffers,
+            self.usage,
         )
         if isinstance(opened, Ok):
             self.round_trips.add(record.region, self.view.now() - now)
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -26,6 +26,7 @@
     ServerConnection,
     drain,
 )
+from egretmill.http1.usage import ConnectionUsage
 
 __all__ = (
     'Body',
@@ -34,6 +35,7 @@
     'CallFailure',
     'ClientConnection',
     'ConnectionLimits',
+    'ConnectionUsage',
     'FailureCause',
     'IdleConnections',
     'OverlappingRead',
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -12,6 +12,7 @@
 from egretmill.http1.request_writer import Call, RequestWriter
 from egretmill.http1.response_reader import BufferBudget, ResponseReader
 from egretmill.http1.transport import ConnectionTransport
+from egretmill.http1.usage import ConnectionUsage
 
 __all__ = ('CallFailure', 'ClientConnection', 'FailureCause', 'connect')
 
@@ -64,12 +65,17 @@
         seconds; ``None`` if it does not say.
     """
 
-    def __init__(self, budget: BufferBudget | None = None) -> None:
+    def __init__(
+        self,
+        budget: BufferBudget | None = None,
+        usage: ConnectionUsage | None = None,
+    ) -> None:
         """Create the state of a connection that has no transport yet.
 
         :param budget: limit of buffered bytes, shared between connections.
+        :param usage: counts the connections of a kind.
         """
-        super().__init__()
+        super().__init__(usage)
         self.budget = budget or BufferBudget()
         self.reader: ResponseReader | None = None
         self.writer: RequestWriter | None = None
@@ -149,7 +155,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call unless the close is the end of its response."""
-        self.transport = None
+        super().connection_lost(exc)
         self.writable.set()
         self.closed.set_result(exc)
         if self.reader is not None and exc is None:
@@ -162,6 +168,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reset the connection if no call is running."""
+        super().data_received(data)
         if self.sends_rest:
             # Bytes behind the answer belong to no request.
             return
@@ -253,17 +260,19 @@
     port: int,
     timeout_s: float,
     budget: BufferBudget | None = None,
+    usage: ConnectionUsage | None = None,
 ) -> Result[ClientConnection, CallFailure]:
     """Open a connection; on failure, no request bytes were sent.
 
     :param timeout_s: longest time for connecting, in seconds.
     :param budget: limit of buffered bytes, shared between connections.
+    :param usage: counts the connections of a kind.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                functools.partial(ClientConnection, budget),
+                functools.partial(ClientConnection, budget, usage),
                 address,
                 port,
             )
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -17,6 +17,7 @@
 )
 from egretmill.http1.request_reader import RequestReader
 from egretmill.http1.transport import ConnectionTransport
+from egretmill.http1.usage import ConnectionUsage
 
 __all__ = (
     'ConnectionLimits',
@@ -64,6 +65,8 @@
     limits: ConnectionLimits
     #: Whether the host shuts down: connections close after their answers.
     leaving: bool
+    #: Counts the connections.
+    usage: ConnectionUsage
 
     def start_request(self, pending: 'PendingAnswer') -> None:
         """Start to serve a request whose head has arrived."""
@@ -170,7 +173,7 @@
 
     def __init__(self, handler: RequestHandler) -> None:
         """Serve requests with a handler."""
-        super().__init__()
+        super().__init__(handler.usage)
         self.handler = handler
         self.reader = RequestReader(self)
         self.queue: collections.deque[PendingAnswer] = collections.deque()
@@ -203,12 +206,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, unless the connection is closing."""
+        super().data_received(data)
         if not self.closing and self.transport is not None:
             self.reader.feed(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify unanswered requests that their caller has disconnected."""
-        self.transport = None
+        super().connection_lost(exc)
         self.timer.cancel()
         if self.receiving is not None:
             self.receiving.body.mark_truncated()
--- a/egretmill/http1/transport.py
+++ b/egretmill/http1/transport.py
@@ -4,6 +4,8 @@
 import socket
 from typing import Any
 
+from egretmill.http1.usage import ConnectionUsage
+
 __all__ = ('ConnectionTransport',)
 
 #: The kernel closes a connection whose sent bytes stay unacknowledged for
@@ -15,9 +17,13 @@
 class ConnectionTransport(asyncio.Protocol):
     """Base of connections; ``transport`` is ``None`` unless connected."""
 
-    def __init__(self) -> None:
-        """Create the state of a connection that has no transport yet."""
+    def __init__(self, usage: ConnectionUsage | None = None) -> None:
+        """Create the state of a connection that has no transport yet.
+
+        :param usage: counts the connections of a kind.
+        """
         self.loop = asyncio.get_running_loop()
+        self.usage = usage or ConnectionUsage()
         self.transport: asyncio.Transport | None = None
         self.writable = asyncio.Event()
         self.writable.set()
@@ -30,6 +36,7 @@
     def connection_made(self, transport: Any) -> None:
         """Set the socket options."""
         self.transport = transport
+        self.usage.open_connections += 1
         sock = transport.get_extra_info('socket')
         if sock is None:
             return
@@ -37,6 +44,15 @@
         sock.setsockopt(level, socket.TCP_NODELAY, 1)
         sock.setsockopt(level, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Record the end of the connection."""
+        self.transport = None
+        self.usage.open_connections -= 1
+
+    def data_received(self, data: bytes) -> None:
+        """Count received bytes."""
+        self.usage.received_bytes += len(data)
+
     def pause_writing(self) -> None:
         """Record that the send buffer is full."""
         self.writable.clear()
@@ -48,6 +64,7 @@
     def write(self, content: bytes) -> None:
         """Send bytes; discard them if the connection has ended."""
         if self.transport is not None:
+            self.usage.sent_bytes += len(content)
             self.transport.write(content)
 
     def close(self) -> None:
--- a/tests/host/test_early_answers.py
+++ b/tests/host/test_early_answers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from egretmill.host.handler import EntryHandler
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.http1 import ServerConnection
 from tests.host.fakes import ONCE, configuration, make_state, upstream
 from tests.host.test_exchange import NOT_RUN, response
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -12,7 +12,7 @@
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.host.exchange import Exchange
 from egretmill.host.request_check import check_request
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.http1 import Body
 from soak.links import TcpLink
 from egretmill.placement import ServiceTimes
--- a/tests/host/test_remote_tokens.py
+++ b/tests/host/test_remote_tokens.py
@@ -5,7 +5,7 @@
 
 from egretmill.fleet.configuration import ClientAccount
 from egretmill.fleet.freshness import boot_time
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.state import HostState
 from egretmill.peers import Heartbeat, TokenResponse, TokenRequest
 from egretmill.shares.accounts import Admitted, Limited
--- a/tests/host/test_upstream_limits.py
+++ b/tests/host/test_upstream_limits.py
@@ -10,7 +10,7 @@
 from egretmill.fleet.freshness import boot_time
 from egretmill.host.attempt_result import parse_stated_rate
 from egretmill.host.exchange import Exchange
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.request_check import check_request
 from egretmill.http1 import Body, Response
 from egretmill.placement.choice import NoCapacity, UpstreamSelector
--- a/tests/host/test_upstream_words.py
+++ b/tests/host/test_upstream_words.py
@@ -10,7 +10,7 @@
 from egretmill.errors import ErrorKind
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.host.exchange import Exchange
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.request_check import check_request
 from egretmill.host.state_updater import StateUpdater
 from egretmill.peers import UpstreamChanges, decode_datagram, encode_datagram
--- a/tests/http1/harness.py
+++ b/tests/http1/harness.py
@@ -6,6 +6,7 @@
 
 from egretmill.http1 import (
     ConnectionLimits,
+    ConnectionUsage,
     PendingAnswer,
     Response,
     ServerConnection,
@@ -20,6 +21,7 @@
 
     limits: ConnectionLimits = ConnectionLimits()
     leaving: bool = False
+    usage: ConnectionUsage = dataclasses.field(default_factory=ConnectionUsage)
     requests: list[PendingAnswer] = dataclasses.field(default_factory=list)
     disconnected: list[bytes] = dataclasses.field(default_factory=list)
     errors: list[int] = dataclasses.field(default_factory=list)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -13,7 +13,7 @@
 
 from egretmill.fleet.view import Topic
 from egretmill.host.metrics import HostMetrics
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.roster_keeper import RosterKeeper
 from egretmill.host.roster_table import ROSTER_TABLE
 from egretmill.host.settings import Endpoint
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,7 +11,7 @@
 from tornado.testing import bind_unused_port
 
 from egretmill.host.metrics import HostMetrics
-from egretmill.host.program import BootLoop
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.settings import Bounds, Endpoint
 from egretmill.tables import (
     PollTiming,
