--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -73,6 +73,13 @@
         logging.ERROR,
         'Changed settings are invalid; the previous ones stay in force.',
     )
+    ACCEPT_FAILED = Event(
+        110,
+        'accept_failed',
+        logging.WARNING,
+        'The entry listener cannot accept connections; the host is not ready '
+        'until it can. Gives the number of connections that were closed.',
+    )
     LOAD_HIGH = Event(
         109,
         'load_high',
--- /dev/null
+++ b/egretmill/host/entry_listener.py
@@ -0,0 +1,157 @@
+"""Accepts the connections of callers, also when descriptors are short."""
+
+import asyncio
+import errno
+import functools
+import os
+import socket
+
+from egretmill import events
+from egretmill.host.handler import EntryHandler
+from egretmill.host.state import HostState
+from egretmill.http1 import ServerConnection
+from egretmill.logs import log_event
+
+__all__ = ('EntryListener',)
+
+#: Length of the queue of new connections; a full queue costs the caller
+#: seconds.
+CONNECTION_BACKLOG = 1024
+#: Connections that are accepted in one iteration of the event loop, so that
+#: other events are handled in between.
+MAX_ACCEPTED_AT_ONCE = 64
+#: Pause in which descriptors become free, in seconds.
+ACCEPT_PAUSE_S = 0.05
+NO_RESOURCE_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
+
+
+class EntryListener:
+    """Listens on the entry address; the host is not ready while it fails.
+
+    A reserved descriptor is used to accept and close the connections for which
+    no other one is free: their callers turn to another host at once.
+    """
+
+    def __init__(self, state: HostState, handler: EntryHandler) -> None:
+        """Create a listener whose connections a handler serves."""
+        self.state = state
+        self.handler = handler
+        self.make_connection = functools.partial(ServerConnection, handler)
+        self.loop = asyncio.get_running_loop()
+        self.socket: socket.socket | None = None
+        self.reserved = os.open(os.devnull, os.O_RDONLY)
+        self.starting: set[asyncio.Task[None]] = set()
+
+    def open(self) -> None:
+        """Listen on the entry address.
+
+        :raises OSError: when the address cannot be used.
+        """
+        endpoint = self.state.settings.entry
+        self.socket = socket.create_server(
+            (endpoint.address, endpoint.port), backlog=CONNECTION_BACKLOG
+        )
+        self.socket.setblocking(False)
+        self._resume()
+
+    def close(self) -> None:
+        """Stop listening; accepted connections stay open."""
+        if self.socket is None:
+            return
+        self.loop.remove_reader(self.socket)
+        self.socket.close()
+        self.socket = None
+        if self.reserved >= 0:
+            os.close(self.reserved)
+
+    def accept_waiting(self) -> None:
+        """Accept the waiting connections, up to a limit."""
+        for _ in range(MAX_ACCEPTED_AT_ONCE):
+            try:
+                accepted = self._accept()
+            except OSError as error:
+                self._handle_failure(error)
+                return
+            if accepted is None:
+                break
+            self._start_connection(accepted)
+        self.state.accepting = True
+
+    def _accept(self) -> socket.socket | None:
+        """Return a waiting connection, if there is one.
+
+        :raises OSError: when a connection cannot be accepted.
+        """
+        if self.socket is None:
+            return None
+        try:
+            accepted, _ = self.socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return None
+        accepted.setblocking(False)
+        return accepted
+
+    def _start_connection(self, accepted: socket.socket) -> None:
+        task = self.loop.create_task(self._connect(accepted))
+        self.starting.add(task)
+        task.add_done_callback(self.starting.discard)
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(
+                self.make_connection, accepted
+            )
+        except OSError as error:
+            accepted.close()
+            log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
+
+    def _handle_failure(self, error: OSError) -> None:
+        """Refuse waiting connections and pause."""
+        is_first = self.state.accepting
+        self.state.accepting = False
+        refused = 0
+        if error.errno in NO_RESOURCE_ERRORS:
+            refused = self._refuse_waiting()
+        self.state.record_accept_failures(max(refused, 1))
+        if is_first:
+            log_event(
+                events.CATALOGUE.ACCEPT_FAILED,
+                error=str(error),
+                refused=refused,
+            )
+        self._pause()
+
+    def _refuse_waiting(self) -> int:
+        """Close waiting connections unserved; return their number."""
+        refused = 0
+        while refused < MAX_ACCEPTED_AT_ONCE and self._refuse_next():
+            refused += 1
+        self.handler.free_descriptors()
+        return refused
+
+    def _refuse_next(self) -> bool:
+        """Close one waiting connection with the reserved descriptor."""
+        if self.reserved >= 0:
+            os.close(self.reserved)
+            self.reserved = -1
+        try:
+            accepted = self._accept()
+            if accepted is not None:
+                accepted.close()
+            self.reserved = os.open(os.devnull, os.O_RDONLY)
+        except OSError as error:
+            log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
+            return False
+        return accepted is not None
+
+    def _pause(self) -> None:
+        if self.socket is not None:
+            self.loop.remove_reader(self.socket)
+            self.loop.call_later(ACCEPT_PAUSE_S, self._resume)
+
+    def _resume(self) -> None:
+        if self.socket is not None:
+            self.loop.add_reader(self.socket, self.accept_waiting)
+            self.accept_waiting()
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -73,10 +73,19 @@
         limit = self.state.settings.descriptors * CALLER_DESCRIPTOR_FRACTION
         if len(self.connections) <= limit:
             return
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close some idle connections of callers, the oldest first."""
         idle = (row for row in self.connections if not row.is_busy)
         for row in tuple(itertools.islice(idle, IDLE_CLOSED_AT_ONCE)):
             row.shut_down()
 
+    def free_descriptors(self) -> None:
+        """Close idle connections of callers and upstreams."""
+        self.close_idle()
+        self.state.pool.close_all_idle()
+
     def connection_closed(self, connection: ServerConnection) -> None:
         """Stop tracking a closed connection."""
         self.connections.pop(connection, None)
--- a/egretmill/host/load_report.py
+++ b/egretmill/host/load_report.py
@@ -64,7 +64,6 @@
         self.state = state
         self.handler = handler
         self.iterations: IterationTimer | None = None
-        self.failures = 0
         #: Bytes received and sent, and failed accepts, as last reported.
         self.passed = (0, 0, 0)
 
@@ -79,8 +78,7 @@
         """Count a failed accept; leave other errors to the loop."""
         error = context.get('exception')
         if isinstance(error, OSError) and error.errno in NO_DESCRIPTOR_ERRORS:
-            self.failures += 1
-            self.state.metrics.accept_failures.inc()
+            self.state.record_accept_failures(1)
             return
         loop.default_exception_handler(context)
 
@@ -115,7 +113,7 @@
         passed = (
             callers.received_bytes + upstreams.received_bytes,
             callers.sent_bytes + upstreams.sent_bytes,
-            self.failures,
+            self.state.accept_failures,
         )
         received, sent, failures = (
             total - before
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -109,8 +109,8 @@
     async def run(self, signals: StopSignals) -> int:
         """Serve until the first signal, then shut down gracefully."""
         started_at = self.state.now()
-        listeners = await Listeners.open(
-            self.state.settings.entry, self.handler, self.applications()
+        listeners = Listeners.open(
+            self.state, self.handler, self.applications()
         )
         log_event(
             events.CATALOGUE.STARTED,
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -52,6 +52,8 @@
     :param suspects: hosts whose roster entries will be removed unless they
         clear the suspicion.
     :param leaving: the host is shutting down.
+    :param accepting: connections of callers can be accepted.
+    :param accept_failures: connections that could not be accepted so far.
     """
 
     settings: HostSettings
@@ -71,6 +73,8 @@
     incarnation: int = 0
     suspects: frozenset[str] = frozenset()
     leaving: bool = False
+    accepting: bool = True
+    accept_failures: int = 0
     #: Called with the record of an upstream that says that it is leaving.
     on_leaving: Callable[[Upstream], None] = ignore_upstream
     limits: ConnectionLimits = ConnectionLimits()
@@ -92,12 +96,7 @@
             bounds.excess_fraction * USED_TOLERANCE_FRACTION,
         )
         view = FleetView()
-        pool = UpstreamPool(
-            view,
-            share,
-            settings.failure_domain,
-            settings.region,
-        )
+        pool = UpstreamPool(view, share, settings)
         view.on_upstream = pool.update
         accounts = AccountLimits(share, loans, tolerance)
         peers = PeerTable(settings.name)
@@ -127,7 +126,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether callers should use this host."""
-        if self.leaving or self.configuration is None:
+        if self.leaving or not self.accepting or self.configuration is None:
             return False
         return self.share.fraction(self.now()) > 0
 
@@ -154,6 +153,11 @@
         self.metrics.version.set(configuration.version)
         return True
 
+    def record_accept_failures(self, count: int) -> None:
+        """Count connections that could not be accepted."""
+        self.accept_failures += count
+        self.metrics.accept_failures.inc(count)
+
     def update_retry_allowance(self) -> None:
         """Set the own share of the fleet's retry allowance."""
         planned = self.settings.bounds.retry_allowance * PLANNED_RETRY_FRACTION
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -1,5 +1,6 @@
 """Load and idle connections of all upstreams."""
 
+import functools
 from collections.abc import Mapping
 
 from result import Ok, Result
@@ -7,6 +8,7 @@
 from egretmill.fleet.configuration import Service
 from egretmill.fleet.view import FleetView
 from egretmill.fleet.upstreams import Upstream
+from egretmill.host.settings import HostSettings
 from egretmill.host.upstream_pauses import UpstreamPauses
 from egretmill.http1 import (
     BufferBudget,
@@ -41,14 +43,12 @@
         self,
         view: FleetView,
         share: FleetShare,
-        failure_domain: str,
-        region: str,
+        settings: HostSettings,
     ) -> None:
-        """Start without upstreams, for a host at this location."""
+        """Start without upstreams, for a host with these settings."""
         self.view = view
         self.share = share
-        self.failure_domain = failure_domain
-        self.region = region
+        self.settings = settings
         self.loads: dict[str, UpstreamLoad] = {}
         self.services: Mapping[str, Service] = {}
         self.pauses = UpstreamPauses(self.loads)
@@ -187,6 +187,11 @@
             self.idle[load.record.name] = idle
         idle.put(connection)
 
+    def close_all_idle(self) -> None:
+        """Close the idle connections of all upstreams."""
+        for name in tuple(self.idle):
+            self.close_idle(name)
+
     def close_idle(self, name: str) -> None:
         """Close the idle connections of an upstream."""
         idle = self.idle.pop(name, None)
@@ -213,14 +218,10 @@
         ]
         ordered = rendezvous_order(object_key, eligible)
         if near_first:
-            ordered = tuple(sorted(ordered, key=self._distance))
+            distance = functools.partial(_distance, self.settings)
+            ordered = tuple(sorted(ordered, key=distance))
         return tuple(self.loads[upstream.name] for upstream in ordered)
 
-    def _distance(self, upstream: Upstream) -> int:
-        if upstream.failure_domain == self.failure_domain:
-            return 0
-        return 1 if upstream.region == self.region else 2
-
     def _update_cold_start(
         self, load: UpstreamLoad, upstream: Upstream
     ) -> None:
@@ -236,3 +237,9 @@
         if service is not None and service.cold_per_s:
             load.slow_start.mark_cold(now + upstream.cold_s, now)
             load.slow_start.set_rate(self.cold_rate(upstream, service))
+
+
+def _distance(settings: HostSettings, upstream: Upstream) -> int:
+    if upstream.failure_domain == settings.failure_domain:
+        return 0
+    return 1 if upstream.region == settings.region else 2
--- /dev/null
+++ b/tests/host/test_entry_listener.py
@@ -0,0 +1,104 @@
+"""Accepting connections of callers, with and without free descriptors."""
+
+import asyncio
+import contextlib
+import dataclasses
+import errno
+import socket
+
+import pytest
+
+from egretmill.host.entry_listener import (
+    ACCEPT_PAUSE_S,
+    MAX_ACCEPTED_AT_ONCE,
+    EntryListener,
+)
+from egretmill.host.handler import EntryHandler
+from egretmill.host.settings import Endpoint
+from tests.host.fakes import make_state
+from tests.http1.harness import ADDRESS, wait_until
+
+CALLERS = 3 * MAX_ACCEPTED_AT_ONCE
+
+
+class ExhaustedSocket(socket.socket):
+    """A listening socket for which no descriptor is free, on demand."""
+
+    def __init__(self):
+        """Create a socket that accepts."""
+        super().__init__()
+        self.is_exhausted = False
+        self.accepts = 0
+
+    def accept(self):
+        """Accept a connection, or fail."""
+        self.accepts += 1
+        if self.is_exhausted:
+            raise OSError(errno.EMFILE, 'too many open files')
+        return super().accept()
+
+
+def make_socket(address, backlog):
+    """Return a listening socket that can fail."""
+    listening = ExhaustedSocket()
+    listening.bind(address)
+    listening.listen(backlog)
+    return listening
+
+
+@pytest.fixture
+async def listener(monkeypatch):
+    """Return an open listener on a free port."""
+    monkeypatch.setattr(socket, 'create_server', make_socket)
+    state = make_state()
+    state.settings = dataclasses.replace(
+        state.settings, entry=Endpoint(ADDRESS, 0)
+    )
+    opened = EntryListener(state, EntryHandler(state))
+    opened.open()
+    yield opened
+    opened.close()
+    for connection in tuple(opened.handler.connections):
+        connection.reset()
+    await asyncio.sleep(0)
+
+
+@contextlib.contextmanager
+def connect_callers(listener, count):
+    """Connect callers to a listener."""
+    address = listener.socket.getsockname()
+    with contextlib.ExitStack() as stack:
+        for _ in range(count):
+            caller = socket.create_connection(address)
+            stack.enter_context(caller)
+            caller.setblocking(False)
+        yield
+
+
+async def test_crowd_is_accepted_in_parts(listener):
+    """Guards against accepts that keep other events of the loop waiting."""
+    connections = listener.handler.connections
+    with connect_callers(listener, CALLERS):
+        listener.accept_waiting()
+        assert len(listener.starting) == MAX_ACCEPTED_AT_ONCE
+        await wait_until(lambda: len(connections) == CALLERS)
+
+
+async def test_host_is_not_ready_while_no_descriptor_is_free(listener):
+    """Guards against a readiness check that promises what accepts break."""
+    state = listener.state
+    listener.socket.is_exhausted = True
+    with connect_callers(listener, 1):
+        assert state.is_ready
+        await wait_until(lambda: not state.is_ready)
+        listener.socket.is_exhausted = False
+        await wait_until(lambda: len(listener.handler.connections) == 1)
+    assert state.is_ready
+
+
+async def test_failed_accepts_are_not_repeated_without_pause(listener):
+    """Guards against a processor that is busy with failing accepts."""
+    listener.socket.is_exhausted = True
+    with connect_callers(listener, CALLERS):
+        await asyncio.sleep(10 * ACCEPT_PAUSE_S)
+    assert 0 < listener.socket.accepts <= 30
