--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -20,6 +20,9 @@
 #: Connections that are accepted in one iteration of the event loop, so that
 #: other events are handled in between.
 MAX_ACCEPTED_AT_ONCE = 64
+#: Callers have this time to send a request before their connection counts as
+#: idle, in seconds.
+MIN_IDLE_S = 0.5
 #: Pause in which descriptors become free, in seconds.
 ACCEPT_PAUSE_S = 0.05
 NO_RESOURCE_ERRORS = frozenset(
@@ -43,6 +46,8 @@
         self.socket: socket.socket | None = None
         self.reserved = os.open(os.devnull, os.O_RDONLY)
         self.starting: set[asyncio.Task[None]] = set()
+        #: There was no room before the last pause.
+        self.was_full = False
 
     def open(self) -> None:
         """Listen on the entry address.
@@ -67,8 +72,27 @@
             os.close(self.reserved)
 
     def accept_waiting(self) -> None:
-        """Accept the waiting connections, up to a limit."""
-        for _ in range(MAX_ACCEPTED_AT_ONCE):
+        """Accept the waiting connections, as many as there is room for.
+
+        Idle connections are closed to make room. Without any, the waiting ones
+        stay for a pause, in which those of refused requests close. Then they
+        are closed unserved.
+        """
+        connections = self.handler.connections
+        room = connections.room - len(self.starting)
+        closed = 0
+        if room < MAX_ACCEPTED_AT_ONCE:
+            closed = connections.close_idle(
+                MAX_ACCEPTED_AT_ONCE - room, MIN_IDLE_S
+            )
+        if room <= 0 and not closed:
+            if self.was_full:
+                self._refuse_waiting()
+            self.was_full = not self.was_full
+            self._pause()
+            return
+        self.was_full = False
+        for _ in range(min(room, MAX_ACCEPTED_AT_ONCE)):
             try:
                 accepted = self._accept()
             except OSError as error:
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -1,7 +1,6 @@
 """Handles the requests of callers on the entry address."""
 
 import asyncio
-import itertools
 import random
 
 from result import Err
@@ -9,6 +8,8 @@
 from egretmill import events
 from egretmill.errors import ErrorKind, Failure
 from egretmill.host.answers import Refusal, refusal_response
+from egretmill.host.callers import CallerConnections
+from egretmill.host.descriptors import DescriptorPlan
 from egretmill.host.exchange import Exchange, finish_request
 from egretmill.host.request_check import AcceptedRequest, check_request
 from egretmill.host.state import HostState
@@ -23,11 +24,11 @@
 
 __all__ = ('EntryHandler',)
 
-#: Fraction of the file descriptors for connections of callers; the others are
-#: for upstreams, the store and files.
-CALLER_DESCRIPTOR_FRACTION = 0.6
 #: Retry-After of a host that is leaving, in seconds: others serve at once.
 LATE_RETRY_S = 0.05
+#: Retry-After of a host that serves as many requests as it can, in seconds;
+#: another host may have room at once.
+OVERLOADED_RETRY_S = 0.25
 #: Idle connections to close when the limit is exceeded.
 IDLE_CLOSED_AT_ONCE = 4
 
@@ -39,10 +40,10 @@
         """Handle requests with the state of the host."""
         self.state = state
         self.rng = random.Random()  # noqa: S311
-        #: Open connections, the oldest first.
-        self.connections: dict[ServerConnection, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.usage = ConnectionUsage()
+        self.plan = DescriptorPlan.from_limit(state.settings.descriptors)
+        self.connections = CallerConnections(self.plan.callers, state.now)
 
     @property
     def limits(self) -> ConnectionLimits:
@@ -60,7 +61,7 @@
 
         The rest of a body can still be forwarded when its caller has gone.
         """
-        return bool(self.connections or self.tasks)
+        return bool(len(self.connections) or self.tasks)
 
     def connection_opened(self, connection: ServerConnection) -> None:
         """Track a new connection; close idle ones if there are too many.
@@ -68,27 +69,19 @@
         Without free descriptors, the host could not accept the connections of
         other callers.
         """
-        self.connections[connection] = None
+        if self.connections.room <= 0:
+            self.connections.close_idle(IDLE_CLOSED_AT_ONCE)
+        self.connections.add(connection)
         self.state.metrics.accepted.inc()
-        limit = self.state.settings.descriptors * CALLER_DESCRIPTOR_FRACTION
-        if len(self.connections) <= limit:
-            return
-        self.close_idle()
-
-    def close_idle(self) -> None:
-        """Close some idle connections of callers, the oldest first."""
-        idle = (row for row in self.connections if not row.is_busy)
-        for row in tuple(itertools.islice(idle, IDLE_CLOSED_AT_ONCE)):
-            row.shut_down()
 
     def free_descriptors(self) -> None:
         """Close idle connections of callers and upstreams."""
-        self.close_idle()
+        self.connections.close_idle(IDLE_CLOSED_AT_ONCE)
         self.state.pool.close_all_idle()
 
     def connection_closed(self, connection: ServerConnection) -> None:
         """Stop tracking a closed connection."""
-        self.connections.pop(connection, None)
+        self.connections.remove(connection)
 
     def request_rejected(self, status: int, reason: str) -> None:
         """Log and count a request that could not be parsed."""
@@ -105,6 +98,9 @@
             failure = Failure(ErrorKind.SHUTTING_DOWN, 'host is leaving')
             self.refuse(pending, Refusal.not_run(failure, LATE_RETRY_S))
             return
+        if len(self.tasks) >= self.plan.requests:
+            self.refuse_overloaded(pending, 'too many requests at work')
+            return
         accepted = check_request(pending.head, self.state, self.rng)
         if isinstance(accepted, Err):
             self.refuse(pending, accepted.err_value)
@@ -113,8 +109,21 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        connection = pending.connection
+        self.connections.mark_busy(connection)
+        task.add_done_callback(lambda _: self.connections.mark_idle(connection))
         pending.on_disconnect = task.cancel
 
+    def refuse_overloaded(self, pending: PendingAnswer, detail: str) -> None:
+        """Refuse a request that the host has no room for.
+
+        The connection closes, so that its descriptor is free for another
+        caller.
+        """
+        pending.keep_alive = False
+        failure = Failure(ErrorKind.OVERLOADED, detail)
+        self.refuse(pending, Refusal.not_run(failure, OVERLOADED_RETRY_S))
+
     async def serve(
         self, pending: PendingAnswer, accepted: AcceptedRequest
     ) -> None:
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -8,6 +8,7 @@
 from egretmill.fleet.configuration import Service
 from egretmill.fleet.view import FleetView
 from egretmill.fleet.upstreams import Upstream
+from egretmill.host.descriptors import DescriptorPlan
 from egretmill.host.settings import HostSettings
 from egretmill.host.upstream_pauses import UpstreamPauses
 from egretmill.http1 import (
@@ -49,6 +50,7 @@
         self.view = view
         self.share = share
         self.settings = settings
+        self.plan = DescriptorPlan.from_limit(settings.descriptors)
         self.loads: dict[str, UpstreamLoad] = {}
         self.services: Mapping[str, Service] = {}
         self.pauses = UpstreamPauses(self.loads)
@@ -162,6 +164,8 @@
         if connection is not None:
             return Ok(connection)
         record = load.record
+        if self.usage.open_connections >= self.plan.upstreams:
+            self.close_all_idle()
         opened = await connect(
             record.address,
             record.port,
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -102,3 +102,15 @@
     with connect_callers(listener, CALLERS):
         await asyncio.sleep(10 * ACCEPT_PAUSE_S)
     assert 0 < listener.socket.accepts <= 30
+
+
+async def test_callers_without_room_are_closed_on_after_a_pause(listener):
+    """Guards against callers that wait in the queue of a full host."""
+    listener.handler.connections.limit = 1
+    address = listener.socket.getsockname()
+    with connect_callers(listener, 1):
+        await wait_until(lambda: len(listener.handler.connections) == 1)
+        reader, writer = await asyncio.open_connection(*address)
+        async with asyncio.timeout(1):
+            assert not await reader.read()
+        writer.close()
--- a/tests/platform/test_crowded_host.py
+++ b/tests/platform/test_crowded_host.py
@@ -11,6 +11,7 @@
     ADDRESS,
     TIMEOUT_S,
     Environment,
+    find_header,
 )
 
 DESCRIPTORS = 400
@@ -134,6 +135,19 @@
     return outcomes, readiness
 
 
+async def test_new_callers_are_answered_while_a_crowd_waits(crowded):
+    """Guards against a ready host that takes no new connection."""
+    answers = []
+    async with crowd(crowded, answers):
+        outcomes, readiness = await probe_repeatedly(crowded)
+    assert set(outcomes) <= {200, 503, 504}
+    assert set(readiness) == {200}
+    refused = [head for status, head in answers if status == 503]
+    assert refused
+    for head in refused:
+        assert find_header(head, b'x-egretmill-outcome') == b'not-run'
+
+
 async def test_no_caller_is_left_waiting_if_the_kernel_allows_less(crowded):
     """Guards against a listener that stops while no descriptor is free."""
     crowded.limit_descriptors(crowded.count_descriptors() + FREE_DESCRIPTORS)
