--- a/egretmill/http1/response_reader.py
+++ b/egretmill/http1/response_reader.py
@@ -11,12 +11,18 @@
 
 #: Longest response body; responses are buffered in memory.
 RESPONSE_LIMIT_BYTES = 16 << 20
-#: Longest head of a response, with the interim responses before it.
+#: Longest head of a response, with the interim responses before it. The same
+#: holds for the trailers, and for chunk framing without a byte of the body.
 HEAD_LIMIT_BYTES = 64 << 10
+#: Headers of one response, its trailers included.
+MAX_HEADERS = 256
+#: Memory that a header takes beside its bytes: its objects and their places in
+#: list and dictionary.
+HEADER_OVERHEAD_BYTES = 400
 #: Bytes of chunk framing that are accepted for each byte of a body, since
 #: chunks of one byte are valid.
 CHUNK_OVERHEAD_RATIO = 8
-#: Response bodies of all connections that are buffered at the same time.
+#: Responses of all connections that are buffered at the same time.
 BUFFER_LIMIT_BYTES = 64 << 20
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset((204, 304))
@@ -53,9 +59,16 @@
         self.used_bytes -= size
 
 
+class ResponseLimitError(Exception):
+    """A response exceeds a limit."""
+
+
 class ResponseReader:
     """Parser of the responses to one call, with its callbacks.
 
+    All that is kept of a response counts in the budget, whether it is complete
+    or not. Trailers are dropped.
+
     :param budget: buffered bytes of all connections.
     :param bodiless: the response has no body, whatever its headers say.
     :param reads_until_close: the body ends when the connection is closed.
@@ -71,10 +84,17 @@
         self.bodiless = bodiless
         self.parser = httptools.HttpResponseParser(self)
         self.response = Response(0)
-        self.chunks: list[bytes] = []
-        self.received_bytes = 0
-        #: Bytes of heads, chunk framing and trailers.
+        self.body = bytearray()
+        #: Headers and trailers of the response so far.
+        self.header_count = 0
+        self.header_bytes = 0
+        #: Bytes of heads, chunk framing and trailers, and those of them that
+        #: have arrived since the last byte of a body.
         self.framing_bytes = 0
+        self.unbroken_framing_bytes = 0
+        self.is_head_complete = False
+        #: Bytes that are counted in the budget.
+        self.counted_bytes = 0
         self.reads_until_close = False
         self.reusable = True
 
@@ -85,21 +105,32 @@
         length.
         """
         self.framing_bytes += len(data)
+        self.unbroken_framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.sink.response_rejected('protocol upgrade')
+        except httptools.HttpParserCallbackError as error:
+            self.sink.response_rejected(str(error.__context__ or error))
         except httptools.HttpParserError as error:
             self.sink.response_rejected(str(error))
-        allowed = HEAD_LIMIT_BYTES + CHUNK_OVERHEAD_RATIO * self.received_bytes
-        if self.framing_bytes > allowed:
+        allowed = HEAD_LIMIT_BYTES + CHUNK_OVERHEAD_RATIO * len(self.body)
+        if (
+            self.framing_bytes > allowed
+            or self.unbroken_framing_bytes > HEAD_LIMIT_BYTES
+        ):
             self.sink.response_rejected('head or framing too long')
+        elif not self._count_kept_bytes():
+            self.sink.response_rejected('too many buffered responses')
 
     def close(self) -> None:
         """Drop a response that will not be completed."""
-        self.budget.release(self.received_bytes)
-        self.received_bytes = 0
-        self.chunks = []
+        self.budget.release(self.counted_bytes)
+        self.counted_bytes = 0
+        self.header_count = 0
+        self.header_bytes = 0
+        self.body = bytearray()
+        self.response = Response(0)
 
     def connection_closed(self) -> None:
         """End a response whose body extends to the close."""
@@ -109,15 +140,24 @@
     def on_message_begin(self) -> None:
         """Start a new response."""
         self.close()
-        self.response = Response(0)
+        self.is_head_complete = False
         self.reads_until_close = False
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Append a header."""
-        self.response.add_header(name, text)
+        """Append a header, up to the limit; drop a trailer.
+
+        :raises ResponseLimitError: when there are too many.
+        """
+        self.header_count += 1
+        if self.header_count > MAX_HEADERS:
+            raise ResponseLimitError('too many headers')
+        if not self.is_head_complete:
+            self.header_bytes += len(name) + len(text) + HEADER_OVERHEAD_BYTES
+            self.response.add_header(name, text)
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the body is recognized."""
+        self.is_head_complete = True
         self.response.status = self.parser.get_status_code()
         if self.response.status < FIRST_FINAL_STATUS:
             return
@@ -137,16 +177,15 @@
             self.reads_until_close = True
 
     def on_body(self, chunk: bytes) -> None:
-        """Append a chunk of the body, up to the size limit."""
+        """Append a chunk of the body, up to the limit.
+
+        :raises ResponseLimitError: when the body is too long.
+        """
         self.framing_bytes -= len(chunk)
-        if self.received_bytes + len(chunk) > RESPONSE_LIMIT_BYTES:
-            self.sink.response_rejected('response too long')
-            return
-        if not self.budget.try_add(len(chunk)):
-            self.sink.response_rejected('too many buffered responses')
-            return
-        self.received_bytes += len(chunk)
-        self.chunks.append(chunk)
+        self.unbroken_framing_bytes = 0
+        if len(self.body) + len(chunk) > RESPONSE_LIMIT_BYTES:
+            raise ResponseLimitError('response too long')
+        self.body += chunk
 
     def on_message_complete(self) -> None:
         """Deliver a final response; skip an interim one (1xx)."""
@@ -156,7 +195,18 @@
             self.reusable = False
         self._deliver()
 
+    def _count_kept_bytes(self) -> bool:
+        """Count what is kept now; return whether the budget allows it."""
+        kept_bytes = (
+            len(self.body) + self.header_bytes + self.unbroken_framing_bytes
+        )
+        added_bytes = kept_bytes - self.counted_bytes
+        if not self.budget.try_add(added_bytes):
+            return False
+        self.counted_bytes = kept_bytes
+        return True
+
     def _deliver(self) -> None:
         self.reads_until_close = False
-        self.response.body = b''.join(self.chunks)
+        self.response.body = bytes(self.body)
         self.sink.response_received(self.response)
--- a/tests/http1/test_endless_response.py
+++ b/tests/http1/test_endless_response.py
@@ -89,3 +89,61 @@
         connection = (await connect(ADDRESS, port, 1)).ok_value
         outcome = await connection.send(make_call(limit_s=CALL_LIMIT_S))
     assert outcome.ok_value.body == body
+
+
+CALLS_AT_ONCE = 40
+#: For each call: what it may keep of a head, and the sockets' own buffers.
+MEMORY_PER_CALL_BYTES = 6 * HEAD_LIMIT_BYTES
+BODY = b'x' * HEAD_LIMIT_BYTES
+CHUNKED_BODY = CHUNKED + b'%x\r\n%b\r\n0\r\n' % (len(BODY), BODY)
+SHORT_HEADERS = b'a:b\r\n' * 3000
+
+
+@pytest.mark.parametrize(
+    'start',
+    [STATUS, b'HTTP/1.1 103 Early Hints\r\n', CHUNKED_BODY],
+    ids=['headers', 'interim-headers', 'trailers'],
+)
+async def test_short_headers_without_end_take_bounded_memory(start):
+    """Guards against objects that take far more memory than their bytes."""
+    budget = BufferBudget(CALLS_AT_ONCE * 2 * len(BODY))
+    tracemalloc.start()
+    try:
+        outcomes = await asyncio.gather(
+            *(
+                call_endless_upstream(start, SHORT_HEADERS, budget)
+                for _ in range(CALLS_AT_ONCE)
+            )
+        )
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    causes = {outcome.err_value.cause for outcome in outcomes}
+    assert causes == {FailureCause.MALFORMED}
+    assert peak_bytes < budget.limit_bytes + (
+        CALLS_AT_ONCE * MEMORY_PER_CALL_BYTES
+    )
+    assert budget.used_bytes == 0
+
+
+async def test_heads_that_stall_count_in_the_budget():
+    """Guards against many calls that each keep the longest head."""
+    header = b'X-Filler: ' + b'x' * 1000 + b'\r\n'
+    budget = BufferBudget(4 * HEAD_LIMIT_BYTES)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(STATUS + header * 60)
+        await reader.read()
+
+    async with run_upstream(serve) as port:
+        connections = [
+            (await connect(ADDRESS, port, 1, budget)).ok_value
+            for _ in range(10)
+        ]
+        outcomes = await asyncio.gather(
+            *(row.send(make_call(limit_s=0.5)) for row in connections)
+        )
+    causes = [outcome.err_value.cause for outcome in outcomes]
+    assert causes.count(FailureCause.MALFORMED) >= 6
+    assert budget.used_bytes == 0
