--- a/egretmill/entry/upstream_call.py
+++ b/egretmill/entry/upstream_call.py
@@ -20,6 +20,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from egretmill.errors import ErrorKind
+from egretmill.http1 import MAX_HEADERS
 
 __all__ = (
     'CONNECT_TIMEOUT_S',
@@ -211,6 +212,12 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Pass on status and headers; interim (1xx) answers are dropped."""
+        if sum(1 for _ in headers.get_all()) > MAX_HEADERS:
+            # They take far more memory than their bytes, until the end of the
+            # call.
+            self.abort_reason = 'too many headers'
+            self.abort()
+            return
         if start_line.code < MIN_FINAL_STATUS:
             return
         self.extend_timeout()
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -18,7 +18,7 @@
     ReadTiming,
 )
 from egretmill.http1.request_writer import Call
-from egretmill.http1.response_reader import BufferBudget
+from egretmill.http1.response_reader import MAX_HEADERS, BufferBudget
 from egretmill.http1.server import (
     ConnectionLimits,
     PendingAnswer,
@@ -29,6 +29,7 @@
 from egretmill.http1.usage import ConnectionUsage
 
 __all__ = (
+    'MAX_HEADERS',
     'Body',
     'BufferBudget',
     'Call',
