--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -10,6 +10,7 @@
 from egretmill.host.answers import Refusal, refusal_response
 from egretmill.host.callers import CallerConnections
 from egretmill.host.descriptors import DescriptorPlan
+from egretmill.host.event_loop import IterationTimer
 from egretmill.host.exchange import Exchange, finish_request
 from egretmill.host.request_check import AcceptedRequest, check_request
 from egretmill.host.state import HostState
@@ -29,6 +30,10 @@
 #: Retry-After of a host that serves as many requests as it can, in seconds;
 #: another host may have room at once.
 OVERLOADED_RETRY_S = 0.25
+#: Requests that are read later than this in an iteration of the event loop are
+#: refused, in seconds. The accepted ones are sent on in the next iteration;
+#: with more of them, callers would leave before that.
+MAX_ITERATION_S = 0.1
 #: Idle connections to close when the limit is exceeded.
 IDLE_CLOSED_AT_ONCE = 4
 
@@ -42,6 +47,8 @@
         self.rng = random.Random()  # noqa: S311
         self.tasks: set[asyncio.Task[None]] = set()
         self.usage = ConnectionUsage()
+        #: Timer of the event loop, if it has one.
+        self.iterations: IterationTimer | None = None
         self.plan = DescriptorPlan.from_limit(state.settings.descriptors)
         self.connections = CallerConnections(self.plan.callers, state.now)
 
@@ -74,6 +81,12 @@
         self.connections.add(connection)
         self.state.metrics.accepted.inc()
 
+    def is_late(self, now: float) -> bool:
+        """Return whether the loop has handled its last events for too long."""
+        if self.iterations is None:
+            return False
+        return now - self.iterations.woke_at > MAX_ITERATION_S
+
     def free_descriptors(self) -> None:
         """Close idle connections of callers and upstreams."""
         self.connections.close_idle(IDLE_CLOSED_AT_ONCE)
@@ -98,7 +111,12 @@
             failure = Failure(ErrorKind.SHUTTING_DOWN, 'host is leaving')
             self.refuse(pending, Refusal.not_run(failure, LATE_RETRY_S))
             return
+        if self.is_late(pending.head.received_at):
+            self.refuse_overloaded(pending, 'event loop is late')
+            return
         if len(self.tasks) >= self.plan.requests:
+            # Its descriptor is needed by another caller.
+            pending.keep_alive = False
             self.refuse_overloaded(pending, 'too many requests at work')
             return
         accepted = check_request(pending.head, self.state, self.rng)
@@ -115,12 +133,7 @@
         pending.on_disconnect = task.cancel
 
     def refuse_overloaded(self, pending: PendingAnswer, detail: str) -> None:
-        """Refuse a request that the host has no room for.
-
-        The connection closes, so that its descriptor is free for another
-        caller.
-        """
-        pending.keep_alive = False
+        """Refuse a request that the host has no room for."""
         failure = Failure(ErrorKind.OVERLOADED, detail)
         self.refuse(pending, Refusal.not_run(failure, OVERLOADED_RETRY_S))
 
--- a/egretmill/host/load_report.py
+++ b/egretmill/host/load_report.py
@@ -3,10 +3,11 @@
 import asyncio
 import dataclasses
 import errno
+import operator
 from typing import Any
 
 from egretmill import events
-from egretmill.host.event_loop import BootLoop, IterationTimer
+from egretmill.host.event_loop import BootLoop
 from egretmill.host.handler import EntryHandler
 from egretmill.host.settings import HostSettings
 from egretmill.host.state import HostState
@@ -63,13 +64,12 @@
         """Report on a host."""
         self.state = state
         self.handler = handler
-        self.iterations: IterationTimer | None = None
         #: Bytes received and sent, and failed accepts, as last reported.
         self.passed = (0, 0, 0)
 
     def observe(self, loop: BootLoop) -> None:
-        """Report on the iterations and failed accepts of an event loop."""
-        self.iterations = loop.iterations
+        """Measure the iterations and failed accepts of an event loop."""
+        self.handler.iterations = loop.iterations
         loop.set_exception_handler(self.handle_loop_error)
 
     def handle_loop_error(
@@ -110,17 +110,15 @@
         """Return the load now and since the last call."""
         callers = self.handler.usage
         upstreams = self.state.pool.usage
-        passed = (
+        before = self.passed
+        self.passed = (
             callers.received_bytes + upstreams.received_bytes,
             callers.sent_bytes + upstreams.sent_bytes,
             self.state.accept_failures,
         )
-        received, sent, failures = (
-            total - before
-            for total, before in zip(passed, self.passed, strict=True)
-        )
-        self.passed = passed
-        longest_s = self.iterations.take_longest() if self.iterations else 0
+        received, sent, failures = map(operator.sub, self.passed, before)
+        timer = self.handler.iterations
+        longest_s = timer.take_longest() if timer else 0
         return Load(
             callers.open_connections,
             upstreams.open_connections,
