--- a/egretmill/host/capacity.py
+++ b/egretmill/host/capacity.py
@@ -37,8 +37,12 @@
     def requests_per_s(self) -> float:
         """Return the requests per second that these resources allow."""
         by_processor = self.share * self.cores / REQUEST_CPU_S
-        by_link = self.link_mbps * BYTES_PER_MEGABIT / REQUEST_BYTES
-        return min(by_processor, by_link)
+        return min(by_processor, self.link_bytes_per_s / REQUEST_BYTES)
+
+    @property
+    def link_bytes_per_s(self) -> float:
+        """Return the bandwidth in each direction in bytes per second."""
+        return self.link_mbps * BYTES_PER_MEGABIT
 
 
 def find_large(capacities_per_s: Mapping[str, float]) -> frozenset[str]:
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -13,6 +13,7 @@
 from egretmill.host.event_loop import IterationTimer
 from egretmill.host.exchange import Exchange, finish_request
 from egretmill.host.request_check import AcceptedRequest, check_request
+from egretmill.host.link_budget import LinkBudget
 from egretmill.host.state import HostState
 from egretmill.http1 import (
     ConnectionLimits,
@@ -51,6 +52,8 @@
         self.iterations: IterationTimer | None = None
         self.plan = DescriptorPlan.from_limit(state.settings.descriptors)
         self.connections = CallerConnections(self.plan.callers, state.now)
+        capacity = state.settings.capacity
+        self.link = LinkBudget(capacity.link_bytes_per_s, state.now)
 
     @property
     def limits(self) -> ConnectionLimits:
@@ -123,6 +126,9 @@
         if isinstance(accepted, Err):
             self.refuse(pending, accepted.err_value)
             return
+        if not self.link.try_take():
+            self.refuse_overloaded(pending, 'link is full')
+            return
         coroutine = self.serve(pending, accepted.ok_value)
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
@@ -156,6 +162,8 @@
             self.fail(pending, accepted, exchange, error)
             return
         if isinstance(served, Err):
+            if not exchange.attempts:
+                self.link.give_back()
             self.refuse(pending, served.err_value, accepted, exchange)
             return
         self.answer(pending, accepted, exchange, served.ok_value)
@@ -169,6 +177,7 @@
         response: Response,
     ) -> None:
         """Send an upstream's response to the caller."""
+        self.link.record(pending.body.received_bytes + len(response.body))
         took_s = self.state.now() - pending.head.received_at
         route = accepted.route.name
         metrics = self.state.metrics
--- a/egretmill/host/load_report.py
+++ b/egretmill/host/load_report.py
@@ -23,7 +23,6 @@
 LOGGED_DESCRIPTOR_FRACTION = 0.3
 #: ... or from this fraction of the link's bandwidth.
 LOGGED_LINK_FRACTION = 0.8
-BYTES_PER_MEGABIT = 125_000
 NO_DESCRIPTOR_ERRORS = frozenset((errno.EMFILE, errno.ENFILE))
 
 
@@ -46,14 +45,14 @@
 
     def is_high(self, settings: HostSettings) -> bool:
         """Return whether a resource of the host is short."""
-        link_bytes = settings.capacity.link_mbps * BYTES_PER_MEGABIT
+        link_bytes = settings.capacity.link_bytes_per_s * REPORT_INTERVAL_S
         return (
             self.accept_failures > 0
             or self.longest_iteration_s > LOGGED_ITERATION_S
             or self.callers + self.upstreams
             > settings.descriptors * LOGGED_DESCRIPTOR_FRACTION
             or max(self.received_bytes, self.sent_bytes)
-            > link_bytes * REPORT_INTERVAL_S * LOGGED_LINK_FRACTION
+            > link_bytes * LOGGED_LINK_FRACTION
         )
 
 
