--- a/egretmill/agent/operations.py
+++ b/egretmill/agent/operations.py
@@ -16,6 +16,7 @@
 from egretmill.document.promotion import MAX_DOCUMENT_BYTES, Promoter
 from egretmill.errors import ErrorKind, Failure
 from egretmill.events import CATALOGUE
+from egretmill.listening import listen
 from egretmill.logs import log_event
 from egretmill.settings import HostSettings
 from egretmill.wire.messages import Explain, Explained, PeerState
@@ -355,5 +356,5 @@
     """
     application = make_application(view, settings.operations_token_digest)
     server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
-    server.listen(settings.ports.operations, settings.address)
+    listen(server, settings.ports.operations, settings.address)
     return server
--- a/egretmill/entry/program.py
+++ b/egretmill/entry/program.py
@@ -16,6 +16,7 @@
 from egretmill.entry.state import EntryState
 from egretmill.errors import ErrorKind, Failure
 from egretmill.host_link import AgentLink
+from egretmill.listening import listen
 from egretmill.logs import log_event
 from egretmill.membership.incarnation import next_incarnation
 from egretmill.metrics import Metrics
@@ -84,7 +85,7 @@
             chunk_size=CHUNK_BYTES,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
-        self.http.listen(ports.entry, address)
+        listen(self.http, ports.entry, address)
         self.background_tasks = [
             asyncio.create_task(self.agent_link.run()),
             asyncio.create_task(self.loans.run()),
--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -1,15 +1,14 @@
 """Accepts the connections of callers, also when descriptors are short."""
 
 import asyncio
-import errno
 import functools
-import os
 import socket
 
 from egretmill import events
 from egretmill.host.handler import EntryHandler
 from egretmill.host.state import HostState
 from egretmill.http1 import ServerConnection
+from egretmill.listening import NO_DESCRIPTOR_ERRORS, ListeningSocket
 from egretmill.logs import log_event
 
 __all__ = ('EntryListener',)
@@ -25,9 +24,6 @@
 MIN_IDLE_S = 0.5
 #: Pause in which descriptors become free, in seconds.
 ACCEPT_PAUSE_S = 0.05
-NO_RESOURCE_ERRORS = frozenset(
-    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-)
 
 
 class EntryListener:
@@ -43,8 +39,7 @@
         self.handler = handler
         self.make_connection = functools.partial(ServerConnection, handler)
         self.loop = asyncio.get_running_loop()
-        self.socket: socket.socket | None = None
-        self.reserved = os.open(os.devnull, os.O_RDONLY)
+        self.socket: ListeningSocket | None = None
         self.starting: set[asyncio.Task[None]] = set()
         #: There was no room before the last pause.
         self.was_full = False
@@ -55,10 +50,9 @@
         :raises OSError: when the address cannot be used.
         """
         endpoint = self.state.settings.entry
-        self.socket = socket.create_server(
-            (endpoint.address, endpoint.port), backlog=CONNECTION_BACKLOG
+        self.socket = ListeningSocket.open(
+            endpoint.address, endpoint.port, CONNECTION_BACKLOG
         )
-        self.socket.setblocking(False)
         self._resume()
 
     def close(self) -> None:
@@ -68,8 +62,6 @@
         self.loop.remove_reader(self.socket)
         self.socket.close()
         self.socket = None
-        if self.reserved >= 0:
-            os.close(self.reserved)
 
     def accept_waiting(self) -> None:
         """Accept the waiting connections, as many as there is room for.
@@ -136,7 +128,7 @@
         is_first = self.state.accepting
         self.state.accepting = False
         refused = 0
-        if error.errno in NO_RESOURCE_ERRORS:
+        if error.errno in NO_DESCRIPTOR_ERRORS:
             refused = self._refuse_waiting()
         self.state.record_accept_failures(max(refused, 1))
         if is_first:
@@ -150,25 +142,13 @@
     def _refuse_waiting(self) -> int:
         """Close waiting connections unserved; return their number."""
         refused = 0
-        while refused < MAX_ACCEPTED_AT_ONCE and self._refuse_next():
-            refused += 1
-        self.handler.free_descriptors()
-        return refused
-
-    def _refuse_next(self) -> bool:
-        """Close one waiting connection with the reserved descriptor."""
-        if self.reserved >= 0:
-            os.close(self.reserved)
-            self.reserved = -1
         try:
-            accepted = self._accept()
-            if accepted is not None:
-                accepted.close()
-            self.reserved = os.open(os.devnull, os.O_RDONLY)
+            while refused < MAX_ACCEPTED_AT_ONCE and self.socket.refuse_next():
+                refused += 1
         except OSError as error:
             log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
-            return False
-        return accepted is not None
+        self.handler.free_descriptors()
+        return refused
 
     def _pause(self) -> None:
         if self.socket is not None:
--- a/egretmill/host/listeners.py
+++ b/egretmill/host/listeners.py
@@ -9,6 +9,7 @@
 from egretmill.host.handler import EntryHandler
 from egretmill.host.settings import Endpoint
 from egretmill.host.state import HostState
+from egretmill.listening import listen
 
 __all__ = ('Listeners',)
 
@@ -39,7 +40,7 @@
             other = httpserver.HTTPServer(
                 application, idle_connection_timeout=IDLE_TIMEOUT_S
             )
-            other.listen(endpoint.port, endpoint.address)
+            listen(other, endpoint.port, endpoint.address)
             http_servers.append(other)
         return cls(entry, http_servers)
 
--- a/egretmill/steer/program.py
+++ b/egretmill/steer/program.py
@@ -7,6 +7,7 @@
 from tornado.httpserver import HTTPServer
 
 from egretmill import events
+from egretmill.listening import listen
 from egretmill.logs import log_event
 from egretmill.membership.incarnation import next_incarnation
 from egretmill.metrics import Metrics
@@ -33,7 +34,7 @@
         max_body_size=MAX_BODY_BYTES,
     )
     try:
-        server.listen(settings.ports.steer, settings.address)
+        listen(server, settings.ports.steer, settings.address)
     except OSError as error:
         where = f'{settings.address}:{settings.ports.steer}'
         sys.stderr.write(f'{PROGRAM}: cannot listen on {where}: {error}\n')
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -15,18 +15,19 @@
 )
 from egretmill.host.handler import EntryHandler
 from egretmill.host.settings import Endpoint
+from egretmill.listening import ListeningSocket
 from tests.host.fakes import make_state
 from tests.http1.harness import ADDRESS, wait_until
 
 CALLERS = 3 * MAX_ACCEPTED_AT_ONCE
 
 
-class ExhaustedSocket(socket.socket):
+class ExhaustedSocket(ListeningSocket):
     """A listening socket for which no descriptor is free, on demand."""
 
-    def __init__(self):
+    def __init__(self, *arguments):
         """Create a socket that accepts."""
-        super().__init__()
+        super().__init__(*arguments)
         self.is_exhausted = False
         self.accepts = 0
 
@@ -38,18 +39,12 @@
         return super().accept()
 
 
-def make_socket(address, backlog):
-    """Return a listening socket that can fail."""
-    listening = ExhaustedSocket()
-    listening.bind(address)
-    listening.listen(backlog)
-    return listening
-
-
 @pytest.fixture
 async def listener(monkeypatch):
     """Return an open listener on a free port."""
-    monkeypatch.setattr(socket, 'create_server', make_socket)
+    monkeypatch.setattr(
+        'egretmill.host.entry_listener.ListeningSocket', ExhaustedSocket
+    )
     state = make_state()
     state.settings = dataclasses.replace(
         state.settings, entry=Endpoint(ADDRESS, 0)
@@ -91,9 +86,10 @@
     with connect_callers(listener, 1):
         assert state.is_ready
         await wait_until(lambda: not state.is_ready)
-        listener.socket.is_exhausted = False
+    listener.socket.is_exhausted = False
+    with connect_callers(listener, 1):
         await wait_until(lambda: len(listener.handler.connections) == 1)
-    assert state.is_ready
+        assert state.is_ready
 
 
 async def test_failed_accepts_are_not_repeated_without_pause(listener):
