--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -8,7 +8,7 @@
 from egretmill.host.handler import EntryHandler
 from egretmill.host.state import HostState
 from egretmill.http1 import ServerConnection
-from egretmill.listening import NO_DESCRIPTOR_ERRORS, ListeningSocket
+from egretmill.listening import ListeningSocket
 from egretmill.logs import log_event
 
 __all__ = ('EntryListener',)
@@ -77,11 +77,9 @@
             closed = connections.close_idle(
                 MAX_ACCEPTED_AT_ONCE - room, MIN_IDLE_S
             )
-        if room <= 0 and not closed:
-            if self.was_full:
-                self._refuse_waiting()
-            self.was_full = not self.was_full
-            self._pause()
+        if room <= 0:
+            if not closed:
+                self._wait_for_room()
             return
         self.was_full = False
         for _ in range(min(room, MAX_ACCEPTED_AT_ONCE)):
@@ -123,21 +121,29 @@
             accepted.close()
             log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
 
+    def _wait_for_room(self) -> None:
+        """Pause; refuse those who still wait after a pause."""
+        refused = self._refuse_waiting() if self.was_full else 0
+        if refused:
+            self._record_failure('no room for callers', refused)
+        self.was_full = True
+        self._pause()
+
     def _handle_failure(self, error: OSError) -> None:
-        """Refuse waiting connections and pause."""
-        is_first = self.state.accepting
-        self.state.accepting = False
-        refused = 0
-        if error.errno in NO_DESCRIPTOR_ERRORS:
-            refused = self._refuse_waiting()
-        self.state.record_accept_failures(max(refused, 1))
-        if is_first:
+        """Refuse waiting connections, free descriptors and pause."""
+        refused = self._refuse_waiting()
+        self.handler.free_descriptors()
+        self._record_failure(str(error), max(refused, 1))
+        self._pause()
+
+    def _record_failure(self, reason: str, count: int) -> None:
+        """Record connections that were not served; log the first ones."""
+        if self.state.accepting:
             log_event(
-                events.CATALOGUE.ACCEPT_FAILED,
-                error=str(error),
-                refused=refused,
+                events.CATALOGUE.ACCEPT_FAILED, error=reason, refused=count
             )
-        self._pause()
+        self.state.accepting = False
+        self.state.record_accept_failures(count)
 
     def _refuse_waiting(self) -> int:
         """Close waiting connections unserved; return their number."""
@@ -147,7 +153,6 @@
                 refused += 1
         except OSError as error:
             log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
-        self.handler.free_descriptors()
         return refused
 
     def _pause(self) -> None:
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -84,7 +84,7 @@
         self.connections.add(connection)
         self.state.metrics.accepted.inc()
 
-    def is_late(self, now: float) -> bool:
+    def is_loop_late(self, now: float) -> bool:
         """Return whether the loop has handled its last events for too long."""
         if self.iterations is None:
             return False
@@ -114,7 +114,7 @@
             failure = Failure(ErrorKind.SHUTTING_DOWN, 'host is leaving')
             self.refuse(pending, Refusal.not_run(failure, LATE_RETRY_S))
             return
-        if self.is_late(pending.head.received_at):
+        if self.is_loop_late(pending.head.received_at):
             self.refuse_overloaded(pending, 'event loop is late')
             return
         if len(self.tasks) >= self.plan.requests:
--- a/egretmill/listening.py
+++ b/egretmill/listening.py
@@ -11,7 +11,6 @@
 from egretmill.logs import log_event
 
 __all__ = (
-    'NO_DESCRIPTOR_ERRORS',
     'ListeningSocket',
     'RefusingSocket',
     'listen',
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -100,8 +100,9 @@
     assert 0 < listener.socket.accepts <= 30
 
 
-async def test_callers_without_room_are_closed_on_after_a_pause(listener):
+async def test_full_host_closes_new_connections_and_is_not_ready(listener):
     """Guards against callers that wait in the queue of a full host."""
+    state = listener.state
     listener.handler.connections.limit = 1
     address = listener.socket.getsockname()
     with connect_callers(listener, 1):
@@ -109,4 +110,6 @@
         reader, writer = await asyncio.open_connection(*address)
         async with asyncio.timeout(1):
             assert not await reader.read()
+        assert not state.is_ready
         writer.close()
+    await wait_until(lambda: state.is_ready)
