--- a/egretmill/host/load_report.py
+++ b/egretmill/host/load_report.py
@@ -30,6 +30,7 @@
 class Load:
     """Connections and requests of a host, and its last second.
 
+    :param upstreams: connections, those that are being opened included.
     :param accept_failures: connections that the entry could not accept.
     :param received_bytes: from callers and upstreams.
     :param sent_bytes: to callers and upstreams.
@@ -120,7 +121,7 @@
         longest_s = timer.take_longest() if timer else 0
         return Load(
             callers.open_connections,
-            upstreams.open_connections,
+            upstreams.descriptors,
             len(self.handler.tasks),
             failures,
             round(longest_s, 3),
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -164,7 +164,7 @@
         if connection is not None:
             return Ok(connection)
         record = load.record
-        if self.usage.open_connections >= self.plan.upstreams:
+        if self.usage.descriptors >= self.plan.upstreams:
             self.close_all_idle()
         opened = await connect(
             record.address,
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -269,6 +269,8 @@
     :param usage: counts the connections of a kind.
     """
     loop = asyncio.get_running_loop()
+    usage = usage or ConnectionUsage()
+    usage.opening += 1
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
@@ -281,6 +283,8 @@
         return Err(failure)
     except OSError as error:
         return Err(CallFailure(FailureCause.CONNECT, False, str(error)))
+    finally:
+        usage.opening -= 1
     return Ok(connection)
 
 
