--- a/egretmill/host/link_budget.py
+++ b/egretmill/host/link_budget.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from egretmill.shares.bucket import Share, TokenBucket
+
 __all__ = ('LinkBudget',)
 
 #: Fraction of the bandwidth for requests that are sent on; the rest is for
@@ -34,27 +36,22 @@
 
         :param link_bytes_per_s: bandwidth in each direction.
         """
-        self.bytes_per_s = link_bytes_per_s * REQUEST_FRACTION
+        rate = link_bytes_per_s * REQUEST_FRACTION
+        limit = Share(rate, max(rate * BURST_S, INITIAL_REQUEST_BYTES))
+        self.bucket = TokenBucket(now(), limit.capacity, limit)
         self.now = now
-        self.refilled_at = now()
-        self.free_bytes = self.bytes_per_s * BURST_S
         self.mean_bytes = INITIAL_REQUEST_BYTES
 
     def try_take(self) -> bool:
-        """Take the bytes of a request; return whether there were any."""
-        now = self.now()
-        refill = (now - self.refilled_at) * self.bytes_per_s
-        limit = self.bytes_per_s * BURST_S
-        self.free_bytes = min(self.free_bytes + refill, limit)
-        self.refilled_at = now
-        if self.free_bytes < 0:
-            return False
-        self.free_bytes -= self.mean_bytes
-        return True
+        """Take the bytes of a request; return whether there were enough."""
+        self.bucket.advance(self.now())
+        return self.bucket.take(
+            min(self.mean_bytes, self.bucket.limit.capacity)
+        )
 
     def give_back(self) -> None:
         """Return the bytes of a request that was not sent on."""
-        self.free_bytes += self.mean_bytes
+        self.bucket.put_back(self.mean_bytes)
 
     def record(self, body_bytes: int) -> None:
         """Record a request that was answered.
--- a/egretmill/http1/response_reader.py
+++ b/egretmill/http1/response_reader.py
@@ -7,7 +7,7 @@
 
 from egretmill.http1.messages import Response
 
-__all__ = ('BufferBudget', 'ResponseReader', 'ResponseSink')
+__all__ = ('MAX_HEADERS', 'BufferBudget', 'ResponseReader', 'ResponseSink')
 
 #: Longest response body; responses are buffered in memory.
 RESPONSE_LIMIT_BYTES = 16 << 20
--- a/tests/host/test_link_budget.py
+++ b/tests/host/test_link_budget.py
@@ -71,4 +71,4 @@
         SETTINGS, capacity=Capacity(link_mbps=LINK_MBPS)
     )
     handler = EntryHandler(HostState.from_settings(settings, DIALECT))
-    assert handler.link.bytes_per_s < LINK_BYTES_PER_S
+    assert handler.link.bucket.limit.amount < LINK_BYTES_PER_S
