--- a/egretmill/host/load_report.py
+++ b/egretmill/host/load_report.py
@@ -2,12 +2,9 @@
 
 import asyncio
 import dataclasses
-import errno
 import operator
-from typing import Any
 
 from egretmill import events
-from egretmill.host.event_loop import BootLoop
 from egretmill.host.handler import EntryHandler
 from egretmill.host.settings import HostSettings
 from egretmill.host.state import HostState
@@ -23,7 +20,6 @@
 LOGGED_DESCRIPTOR_FRACTION = 0.3
 #: ... or from this fraction of the link's bandwidth.
 LOGGED_LINK_FRACTION = 0.8
-NO_DESCRIPTOR_ERRORS = frozenset((errno.EMFILE, errno.ENFILE))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,21 +63,6 @@
         #: Bytes received and sent, and failed accepts, as last reported.
         self.passed = (0, 0, 0)
 
-    def observe(self, loop: BootLoop) -> None:
-        """Measure the iterations and failed accepts of an event loop."""
-        self.handler.iterations = loop.iterations
-        loop.set_exception_handler(self.handle_loop_error)
-
-    def handle_loop_error(
-        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
-    ) -> None:
-        """Count a failed accept; leave other errors to the loop."""
-        error = context.get('exception')
-        if isinstance(error, OSError) and error.errno in NO_DESCRIPTOR_ERRORS:
-            self.state.record_accept_failures(1)
-            return
-        loop.default_exception_handler(context)
-
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -272,7 +272,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, program.reload)
     if isinstance(loop, BootLoop):
-        program.load.observe(loop)
+        program.handler.iterations = loop.iterations
     return await program.run(signals)
 
 
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -86,6 +86,7 @@
     with connect_callers(listener, 1):
         assert state.is_ready
         await wait_until(lambda: not state.is_ready)
+        assert state.accept_failures > 0
     listener.socket.is_exhausted = False
     with connect_callers(listener, 1):
         await wait_until(lambda: len(listener.handler.connections) == 1)
--- a/tests/host/test_late_loop.py
+++ b/tests/host/test_late_loop.py
@@ -5,7 +5,6 @@
 
 from egretmill.host.event_loop import BootLoop
 from egretmill.host.handler import MAX_ITERATION_S, EntryHandler
-from egretmill.host.load_report import LoadReport
 from egretmill.http1 import ServerConnection
 from tests.host.fakes import make_state
 from tests.http1.harness import FakeTransport
@@ -18,7 +17,7 @@
 
     async def read_late():
         handler = EntryHandler(make_state())
-        LoadReport(handler.state, handler).observe(asyncio.get_running_loop())
+        handler.iterations = asyncio.get_running_loop().iterations
         late, timely = (ServerConnection(handler) for _ in range(2))
         transport = FakeTransport(late)
         FakeTransport(timely)
--- a/tests/host/test_load_report.py
+++ b/tests/host/test_load_report.py
@@ -1,7 +1,6 @@
 """What a host reports of its connections, event loop and link."""
 
 import asyncio
-import errno
 import time
 
 from egretmill.host.event_loop import BootLoop
@@ -33,11 +32,9 @@
     """Guards against a late event loop and a closed entry that look alike."""
 
     async def block():
-        loop = asyncio.get_running_loop()
         report = LoadReport(state, EntryHandler(state))
-        report.observe(loop)
-        failure = OSError(errno.EMFILE, 'too many open files')
-        loop.call_exception_handler({'message': '', 'exception': failure})
+        report.handler.iterations = asyncio.get_running_loop().iterations
+        state.record_accept_failures(1)
         time.sleep(BLOCKED_S)
         await asyncio.sleep(0)
         return report.take_load(), report.take_load()
