--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -73,13 +73,6 @@
         logging.ERROR,
         'Changed settings are invalid; the previous ones stay in force.',
     )
-    ACCEPT_FAILED = Event(
-        110,
-        'accept_failed',
-        logging.WARNING,
-        'The entry listener cannot accept connections; the host is not ready '
-        'until it can. Gives the number of connections that were closed.',
-    )
     LOAD_HIGH = Event(
         109,
         'load_high',
@@ -87,6 +80,13 @@
         'Many connections, a late event loop, a full link or failed accepts '
         'in the last second; gives the figures.',
     )
+    ACCEPT_FAILED = Event(
+        110,
+        'accept_failed',
+        logging.WARNING,
+        'A listener cannot serve new connections and closes them. The host is '
+        'not ready until its entry listener accepts again.',
+    )
     CONFIGURATION_APPLIED = Event(
         201,
         'configuration_applied',
