Read the memory of the machine from the settings

The host did not know how much memory its machine has, so no limit could be derived from it. `memory_mb` in `[host]` states it, with a default of 300, the smallest machine of the users. Nothing uses it yet.

--- a/egretmill/host/settings.py
+++ b/egretmill/host/settings.py
@@ -74,6 +74,7 @@
         the same on all hosts.
     :param capacity: resources that the machine gives the program.
     :param descriptors: files and sockets that the process may open.
+    :param memory_bytes: memory that the process may use.
     """
 
     name: str
@@ -89,4 +90,5 @@
     bounds: Bounds = Bounds()
     capacity: Capacity = Capacity()
     descriptors: int = 4096
+    memory_bytes: int = 300 << 20
     log_level: str = 'INFO'
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -11,6 +11,7 @@
 failure_domain = "west-a"
 region = "west"
 room = 0.86
+memory_mb = 560
 
 [listen]
 entry = "10.0.0.1:8686"
@@ -46,6 +47,7 @@
     loaded = load(tmp_path, SETTINGS_FILE).ok_value
     assert loaded.host.entry.port == 8686
     assert loaded.store.address == '10.200.1.7'
+    assert loaded.host.memory_bytes == 560 << 20
     assert loaded.host.bounds.revoke_s == 5
     assert loaded.host.bounds.fail_closed is True
     assert loaded.host.bounds.excess_fraction == pytest.approx(0.1)
