--- a/egretmill/http1/request_reader.py
+++ b/egretmill/http1/request_reader.py
@@ -39,6 +39,8 @@
 class RequestReader:
     """Parser of one connection's requests, with its callbacks.
 
+    Trailers are dropped: they belong to no head.
+
     :param max_head_bytes: longest head; the sink sets it before each head.
     """
 
@@ -73,8 +75,9 @@
         self._count_head_bytes(len(target))
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Append a header."""
-        self.head.add_header(name, text)
+        """Append a header; drop a trailer."""
+        if self.reading_head:
+            self.head.add_header(name, text)
         self._count_head_bytes(len(name) + len(text))
 
     def on_headers_complete(self) -> None:
