--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -4,6 +4,7 @@
 served concurrently and answered in order.
 """
 
+from egretmill.http1.body import Body
 from egretmill.http1.client import (
     CallFailure,
     ClientConnection,
@@ -11,7 +12,7 @@
     connect,
 )
 from egretmill.http1.idle import IdleConnections
-from egretmill.http1.messages import Body, RequestHead, Response
+from egretmill.http1.messages import RequestHead, Response
 from egretmill.http1.overlapping import (
     OverlappingRead,
     ReadAttempt,
--- a/egretmill/http1/request_writer.py
+++ b/egretmill/http1/request_writer.py
@@ -4,13 +4,8 @@
 import dataclasses
 from collections.abc import Callable
 
-from egretmill.http1.messages import (
-    LINE_END,
-    Body,
-    Header,
-    TruncatedBodyError,
-    encode_headers,
-)
+from egretmill.http1.body import Body, TruncatedBodyError
+from egretmill.http1.messages import LINE_END, Header, encode_headers
 from egretmill.http1.transport import ConnectionTransport
 
 __all__ = ('Call', 'RequestWriter')
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -9,8 +9,8 @@
 from typing import Any, Protocol
 
 from egretmill.decoding import parse_count
+from egretmill.http1.body import Body
 from egretmill.http1.messages import (
-    Body,
     RequestHead,
     Response,
     encode_response_head,
