Limit lines that a caller does not end

A host with 160 callers that each sent one header name, header line or trailer line without end had 827 to 835 MB in memory, and refused none of them.

Cause: the parser keeps a line until it is complete and calls back then, so a limit that is checked in the callback comes too late. Trailers and chunk extensions had no limit, and after a rejection the rest of what had been read was still parsed.

Received bytes are parsed in slices of 4 KiB now, and bytes that belong to no body are counted between the slices: since the last byte of a body they may exceed the limit for heads by one slice, and in all eight times the body besides. The first limit is the one of the configuration; chunks of one byte need six times. Nothing is parsed after a rejection. Its answer is sent before the connection closes: the host reads on for up to a second and drops what comes, as a close with unread bytes would reset the connection and could overtake it. What has been read and has no room yet waits unparsed, so the number of pipelined requests is exact.

The connection, its timer and what a listener provides are modules now.

--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -5,12 +5,18 @@
 """
 
 from egretmill.http1.body import Body
+from egretmill.http1.buffers import BufferBudget
 from egretmill.http1.client import (
     CallFailure,
     ClientConnection,
     FailureCause,
     connect,
 )
+from egretmill.http1.handling import (
+    ConnectionLimits,
+    PendingAnswer,
+    RequestHandler,
+)
 from egretmill.http1.idle import IdleConnections
 from egretmill.http1.messages import RequestHead, Response
 from egretmill.http1.overlapping import (
@@ -19,14 +25,8 @@
     ReadTiming,
 )
 from egretmill.http1.request_writer import Call
-from egretmill.http1.response_reader import MAX_HEADERS, BufferBudget
-from egretmill.http1.server import (
-    ConnectionLimits,
-    PendingAnswer,
-    RequestHandler,
-    ServerConnection,
-    drain,
-)
+from egretmill.http1.response_reader import MAX_HEADERS
+from egretmill.http1.server import ServerConnection, drain
 from egretmill.http1.usage import ConnectionUsage
 
 __all__ = (
--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -8,9 +8,10 @@
 from result import Err, Ok, Result
 
 from egretmill.decoding import parse_count
+from egretmill.http1.buffers import BufferBudget
 from egretmill.http1.messages import Response
 from egretmill.http1.request_writer import Call, RequestWriter
-from egretmill.http1.response_reader import BufferBudget, ResponseReader
+from egretmill.http1.response_reader import ResponseReader
 from egretmill.http1.transport import ConnectionTransport
 from egretmill.http1.usage import ConnectionUsage
 
--- a/egretmill/http1/response_reader.py
+++ b/egretmill/http1/response_reader.py
@@ -1,13 +1,17 @@
 """Parses the bytes that an upstream sends into responses."""
 
-import dataclasses
 from typing import Protocol
 
 import httptools
 
+from egretmill.http1.buffers import (
+    CHUNK_OVERHEAD_RATIO,
+    HEADER_OVERHEAD_BYTES,
+    BufferBudget,
+)
 from egretmill.http1.messages import Response
 
-__all__ = ('MAX_HEADERS', 'BufferBudget', 'ResponseReader', 'ResponseSink')
+__all__ = ('MAX_HEADERS', 'ResponseReader', 'ResponseSink')
 
 #: Longest response body; responses are buffered in memory.
 RESPONSE_LIMIT_BYTES = 16 << 20
@@ -16,14 +20,6 @@
 HEAD_LIMIT_BYTES = 64 << 10
 #: Headers of one response, its trailers included.
 MAX_HEADERS = 256
-#: Memory that a header takes beside its bytes: its objects and their places in
-#: list and dictionary.
-HEADER_OVERHEAD_BYTES = 400
-#: Bytes of chunk framing that are accepted for each byte of a body, since
-#: chunks of one byte are valid.
-CHUNK_OVERHEAD_RATIO = 8
-#: Responses of all connections that are buffered at the same time.
-BUFFER_LIMIT_BYTES = 64 << 20
 FIRST_FINAL_STATUS = 200
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -40,25 +36,6 @@
         raise NotImplementedError
 
 
-@dataclasses.dataclass(slots=True)
-class BufferBudget:
-    """Limits the response bytes that all connections buffer together."""
-
-    limit_bytes: int = BUFFER_LIMIT_BYTES
-    used_bytes: int = 0
-
-    def try_add(self, size: int) -> bool:
-        """Count buffered bytes; return whether the limit allows them."""
-        if self.used_bytes + size > self.limit_bytes:
-            return False
-        self.used_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Count bytes as no longer buffered."""
-        self.used_bytes -= size
-
-
 class ResponseLimitError(Exception):
     """A response exceeds a limit."""
 
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -3,182 +3,45 @@
 Requests of a connection are served concurrently and answered in order.
 """
 
-import asyncio
 import collections
-import dataclasses
-from typing import Any, Protocol
+from typing import Any
 
 from egretmill.decoding import parse_count
 from egretmill.http1.body import Body
+from egretmill.http1.handling import PendingAnswer, RequestHandler
 from egretmill.http1.messages import (
     RequestHead,
     Response,
     encode_response_head,
 )
-from egretmill.http1.request_reader import RequestReader
-from egretmill.http1.transport import ConnectionTransport
-from egretmill.http1.usage import ConnectionUsage
-
-__all__ = (
-    'ConnectionLimits',
-    'PendingAnswer',
-    'RequestHandler',
-    'ServerConnection',
-    'drain',
-)
+from egretmill.http1.read_timer import ReadTimer
+from egretmill.http1.receiving import ReceivingConnection
+
+__all__ = ('ServerConnection', 'drain')
 
 #: Requests of one connection that are served at the same time; reading from
 #: the connection pauses until one is answered.
 MAX_PIPELINED_REQUESTS = 64
-#: Shortest time between two timeout checks of a connection, in seconds.
-MIN_CHECK_INTERVAL_S = 1.0
 #: Time for the first request of a caller that has connected just before a
 #: stop, in seconds: several round trips between regions.
 FIRST_REQUEST_WAIT_S = 0.25
-HTTP_REQUEST_TIMEOUT = 408
 HTTP_INTERNAL_ERROR = 500
 HTTP_CONTENT_TOO_LARGE = 413
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Limits on the size and duration of what a caller sends.
-
-    :param header_bytes: longest request head.
-    :param body_bytes: longest request body.
-    :param header_s: longest time from the first byte of a head to its end,
-        in seconds.
-    :param idle_s: longest time without a request, in seconds.
-    """
-
-    header_bytes: int = 65536
-    body_bytes: int = 67108864
-    header_s: float = 10
-    idle_s: float = 60
-
-
-class RequestHandler(Protocol):
-    """Serves the requests of all connections of a listener."""
-
-    #: Current limits; they can change between requests.
-    limits: ConnectionLimits
-    #: Whether the host shuts down: connections close after their answers.
-    leaving: bool
-    #: Counts the connections.
-    usage: ConnectionUsage
-
-    def start_request(self, pending: 'PendingAnswer') -> None:
-        """Start to serve a request whose head has arrived."""
-        raise NotImplementedError
-
-    def connection_opened(self, connection: 'ServerConnection') -> None:
-        """Handle a new connection."""
-        raise NotImplementedError
-
-    def connection_closed(self, connection: 'ServerConnection') -> None:
-        """Handle the end of a connection."""
-        raise NotImplementedError
-
-    def request_rejected(self, status: int, reason: str) -> None:
-        """Handle a request that is malformed, too long or too slow."""
-        raise NotImplementedError
-
-
-class PendingAnswer:
-    """A request whose answer has not been sent yet."""
-
-    def __init__(
-        self,
-        connection: 'ServerConnection',
-        head: RequestHead,
-        body: Body,
-    ) -> None:
-        self.connection = connection
-        self.head = head
-        self.body = body
-        self.keep_alive = True
-        #: The connection drains, and the request came too late to be served.
-        self.is_late = False
-        self.response: Response | None = None
-        #: Called if the caller disconnects before the answer.
-        self.on_disconnect: Any = None
-
-    @property
-    def is_caller_disconnected(self) -> bool:
-        """Return whether the caller has disconnected."""
-        return self.connection.transport is None
-
-    def answer(self, response: Response, *, keeps_body: bool = False) -> None:
-        """Send the answer once all earlier requests are answered.
-
-        :param keeps_body: the rest of the body is still wanted. Otherwise, it
-            is discarded, so that the connection stays usable.
-        """
-        self.response = response
-        if not keeps_body:
-            self.body.discard()
-        self.connection.flush()
-
-
-class ReadTimer:
-    """Times out slow request heads and idle connections.
+class ServerConnection(ReceivingConnection):
+    """One connection of a caller.
 
-    The timer is not rescheduled for each request; when it fires early, it
-    waits for the time that remains.
+    It keeps received bytes that are not parsed yet, the requests that are
+    received or served, and their answers.
     """
 
-    def __init__(self, connection: 'ServerConnection') -> None:
-        """Create the timer of a connection; :meth:`arm` starts it."""
-        self.connection = connection
-        self.loop = connection.loop
-        self.started_at = self.loop.time()
-        self.timer_handle: asyncio.TimerHandle | None = None
-
-    def arm(self, limit_s: float) -> None:
-        """Restart the timeout."""
-        self.started_at = self.loop.time()
-        if self.timer_handle is None:
-            self.timer_handle = self.loop.call_later(
-                limit_s, self.check_timeout
-            )
-
-    def cancel(self) -> None:
-        """Cancel the timer."""
-        if self.timer_handle is not None:
-            self.timer_handle.cancel()
-
-    def check_timeout(self) -> None:
-        """Close the connection if its timeout has passed."""
-        self.timer_handle = None
-        connection = self.connection
-        if connection.transport is None:
-            return
-        reading = connection.reader.reading_head
-        limits = connection.handler.limits
-        limit_s = limits.header_s if reading else limits.idle_s
-        remaining_s = self.started_at + limit_s - self.loop.time()
-        if remaining_s > 0 or connection.is_serving:
-            wait_s = max(remaining_s, MIN_CHECK_INTERVAL_S)
-            self.timer_handle = self.loop.call_later(wait_s, self.check_timeout)
-        elif reading:
-            connection.reader.reading_head = False
-            connection.reject(HTTP_REQUEST_TIMEOUT, 'head came too slowly')
-        else:
-            connection.shut_down()
-
-
-class ServerConnection(ConnectionTransport):
-    """One connection of a caller."""
-
     def __init__(self, handler: RequestHandler) -> None:
         """Serve requests with a handler."""
-        super().__init__(handler.usage)
-        self.handler = handler
-        self.reader = RequestReader(self)
+        super().__init__(handler)
         self.queue: collections.deque[PendingAnswer] = collections.deque()
         self.receiving: PendingAnswer | None = None
-        self.closing = False
         #: Loop time from which requests are late; ``None`` before the drain.
         self.late_from: float | None = None
         #: No request has been taken yet.
@@ -196,7 +59,17 @@
     @property
     def is_busy(self) -> bool:
         """Return whether closing would interrupt a request."""
-        return self.is_serving or self.reader.reading_head or self.is_closed
+        return self.is_serving or self.has_partial_head or self.is_closed
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether another request, or more of one, can be taken."""
+        receiving = self.receiving
+        if receiving is not None and receiving.body.is_buffer_full:
+            return False
+        if not self.writable.is_set():
+            return False
+        return len(self.queue) < MAX_PIPELINED_REQUESTS
 
     def connection_made(self, transport: Any) -> None:
         """Start to read requests."""
@@ -204,12 +77,6 @@
         self.handler.connection_opened(self)
         self.timer.arm(self.handler.limits.idle_s)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes, unless the connection is closing."""
-        super().data_received(data)
-        if not self.closing and self.transport is not None:
-            self.reader.feed(data)
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify unanswered requests that their caller has disconnected."""
         super().connection_lost(exc)
@@ -217,21 +84,11 @@
         if self.receiving is not None:
             self.receiving.body.mark_truncated()
         for pending in self.queue:
-            if pending.response is None and pending.on_disconnect is not None:
-                pending.on_disconnect()
+            pending.cancel()
         self.queue.clear()
+        self.cut_input()
         self.handler.connection_closed(self)
 
-    def pause_writing(self) -> None:
-        """Pause reading while the caller does not read its answers."""
-        super().pause_writing()
-        self.set_reading(enabled=False)
-
-    def resume_writing(self) -> None:
-        """Resume reading when the caller reads its answers again."""
-        super().resume_writing()
-        self.resume_reading()
-
     def head_started(self) -> None:
         """Apply the limits in force to the head that starts."""
         self.reader.max_head_bytes = self.handler.limits.header_bytes
@@ -262,8 +119,6 @@
         if head.fields.get(b'expect', b'').lower() == b'100-continue':
             self.write(CONTINUE)
         self.handler.start_request(pending)
-        if len(self.queue) >= MAX_PIPELINED_REQUESTS:
-            self.set_reading(enabled=False)
 
     def body_chunk_received(self, chunk: bytes) -> None:
         """Append to the body; pause reading while its buffer is full."""
@@ -274,8 +129,6 @@
         if pending.body.received_bytes > self.handler.limits.body_bytes:
             pending.body.mark_truncated()
             self.reject(HTTP_CONTENT_TOO_LARGE, 'body too long')
-        elif pending.body.is_buffer_full:
-            self.set_reading(enabled=False)
 
     def request_received(self) -> None:
         """Complete the request, and close if its answer was the last."""
@@ -304,26 +157,14 @@
             closes = _must_close_after(self, pending)
             idle_s = int(self.handler.limits.idle_s)
             self.write(_encode_answer(pending, closes=closes, idle_s=idle_s))
-            if closes and pending is not self.receiving:
-                self.shut_down()
-            elif closes:
-                # Closing with unread bytes resets the connection, and the
-                # caller could lose an answer that it has not read yet.
-                self.lingering = True
+            if closes:
+                _close_after(self, pending)
         if self.is_closed:
             return
         if not self.is_serving:
             self.timer.arm(self.handler.limits.idle_s)
         self.resume_reading()
 
-    def resume_reading(self) -> None:
-        """Resume reading unless a buffer or the pipeline is full."""
-        receiving = self.receiving
-        if receiving is not None and receiving.body.is_buffer_full:
-            return
-        if len(self.queue) < MAX_PIPELINED_REQUESTS:
-            self.set_reading(enabled=True)
-
     def shut_down(self) -> None:
         """Stop accepting requests and close the connection."""
         self.closing = True
@@ -337,20 +178,21 @@
         """
         if self.closing:
             return
-        self.closing = True
-        self.handler.request_rejected(status, reason)
         unreadable = self.receiving
         self.receiving = None
+        self.cut_input()
+        self.handler.request_rejected(status, reason)
         if unreadable is None:
-            unreadable = PendingAnswer(self, self.reader.head, Body())
+            unreadable = PendingAnswer(self, RequestHead(), Body())
             self.queue.append(unreadable)
-        elif unreadable.response is not None:
+        elif unreadable.response is None:
+            unreadable.cancel()
+        else:
             unreadable.body.mark_truncated()
             if not self.queue:
-                self.shut_down()
+                self.linger()
             return
-        elif unreadable.on_disconnect is not None:
-            unreadable.on_disconnect()
+        unreadable.is_cut = True
         unreadable.keep_alive = False
         unreadable.answer(Response(status))
 
@@ -366,12 +208,26 @@
     connection.late_from = connection.loop.time() + FIRST_REQUEST_WAIT_S
     if connection.is_serving:
         return
-    if connection.is_new or connection.reader.reading_head:
+    if connection.is_new or connection.has_partial_head:
         _close_if_unused_later(connection)
     else:
         connection.shut_down()
 
 
+def _close_after(connection: ServerConnection, pending: PendingAnswer) -> None:
+    """Close a connection whose last answer is written.
+
+    Closing with unread bytes resets the connection, and the caller could lose
+    an answer that it has not read yet.
+    """
+    if pending.is_cut:
+        connection.linger()
+    elif pending is connection.receiving:
+        connection.lingering = True
+    else:
+        connection.shut_down()
+
+
 def _close_if_unused_later(connection: ServerConnection) -> None:
     connection.loop.call_later(FIRST_REQUEST_WAIT_S, _close_unused, connection)
 
--- a/tests/http1/harness.py
+++ b/tests/http1/harness.py
@@ -73,6 +73,7 @@
             loop.call_soon(self.protocol.connection_lost, None)
 
     abort = close
+    write_eof = close
 
     def is_closing(self):
         """Return whether the connection is closed."""
--- a/tests/platform/test_endless_upstream.py
+++ b/tests/platform/test_endless_upstream.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from egretmill.http1.response_reader import BUFFER_LIMIT_BYTES
+from egretmill.http1.buffers import BUFFER_LIMIT_BYTES
 from tests.platform.test_crowded_host import CrowdedEnvironment, probe
 
 CALLS = 150
