Parse the input of callers in turns

Cause: all that a connection had received was parsed at once, and such input takes about a microsecond a byte. With hundreds of connections one iteration of the event loop took seconds.

The first slice of what a connection has received is parsed at once; an ordinary request has no other. Further slices may take half of the time, 20 ms at once. Beyond that, connections wait for turns of 10 ms in each iteration, the one with the fewest slices first, and nothing is read from them meanwhile.

--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -18,6 +18,7 @@
 from egretmill.http1 import (
     ConnectionLimits,
     ConnectionUsage,
+    Intake,
     PendingAnswer,
     Response,
     ServerConnection,
@@ -52,6 +53,7 @@
         self.iterations: IterationTimer | None = None
         self.plan = DescriptorPlan.from_limit(state.settings.descriptors)
         self.connections = CallerConnections(self.plan.callers, state.now)
+        self.intake = Intake()
         capacity = state.settings.capacity
         self.link = LinkBudget(capacity.link_bytes_per_s, state.now)
 
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -18,6 +18,7 @@
     RequestHandler,
 )
 from egretmill.http1.idle import IdleConnections
+from egretmill.http1.intake import Intake
 from egretmill.http1.messages import RequestHead, Response
 from egretmill.http1.overlapping import (
     OverlappingRead,
@@ -40,6 +41,7 @@
     'ConnectionUsage',
     'FailureCause',
     'IdleConnections',
+    'Intake',
     'OverlappingRead',
     'PendingAnswer',
     'ReadAttempt',
--- a/egretmill/http1/handling.py
+++ b/egretmill/http1/handling.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from egretmill.http1.body import Body
+from egretmill.http1.intake import Intake
 from egretmill.http1.messages import RequestHead, Response
 from egretmill.http1.usage import ConnectionUsage
 
@@ -39,6 +40,8 @@
     leaving: bool
     #: Counts the connections.
     usage: ConnectionUsage
+    #: Decides when the input of a connection is parsed.
+    intake: Intake
 
     def start_request(self, pending: 'PendingAnswer') -> None:
         """Start to serve a request whose head has arrived."""
--- a/egretmill/http1/receiving.py
+++ b/egretmill/http1/receiving.py
@@ -30,7 +30,7 @@
         self.reader = RequestReader(self)
         #: Received bytes that are not parsed yet.
         self.unparsed = b''
-        #: Bytes are parsed now.
+        #: Bytes are parsed now or wait for that.
         self.is_parsing = False
         #: No further request is taken.
         self.closing = False
@@ -95,9 +95,9 @@
             self.input_parsed()
             return
         self.is_parsing = True
-        while self.can_parse:
-            self.parse_slice()
-        self.input_parsed()
+        self.handler.intake.parse(self)
+        if self.is_parsing:
+            self.set_reading(enabled=False)
 
     def pause_writing(self) -> None:
         """Pause reading while the caller does not read its answers."""
--- a/tests/http1/harness.py
+++ b/tests/http1/harness.py
@@ -7,6 +7,7 @@
 from egretmill.http1 import (
     ConnectionLimits,
     ConnectionUsage,
+    Intake,
     PendingAnswer,
     Response,
     ServerConnection,
@@ -28,6 +29,7 @@
     connections: list[ServerConnection] = dataclasses.field(
         default_factory=list,
     )
+    intake: Intake = dataclasses.field(default_factory=Intake)
 
     def start_request(self, pending):
         """Record a request."""
