Bound what the connections of all callers keep

Cause: the limits held for one request each, and counted bytes. A head of 16 KB of short lines takes almost 1 MB as objects; 64 requests may wait on a connection; answers counted no more once their call had ended. Nothing bounded the sum.

Each connection counts what it keeps by its memory: unparsed bytes, heads with 400 bytes for a header, bodies, answers that wait or are not sent. Beyond that, connections that keep the most are ended until a tenth is free: a request that is still received, and of which nothing was sent on, is refused (503, not run, with Retry-After), otherwise the connection is reset. Those of ordinary callers keep some KB and stay.

A pipelined head that was received whole and is in an exchange counts as long as its answer is due.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -80,6 +80,14 @@
         'Many connections, a late event loop, a full link or failed accepts '
         'in the last second; gives the figures.',
     )
+    CALLERS_EVICTED = Event(
+        111,
+        'callers_evicted',
+        logging.WARNING,
+        'The connections of callers kept too much memory. The requests that '
+        'kept the most were refused, or their connections closed; gives their '
+        'number and the bytes before and after.',
+    )
     ACCEPT_FAILED = Event(
         110,
         'accept_failed',
--- a/egretmill/host/exchange_log.py
+++ b/egretmill/host/exchange_log.py
@@ -10,7 +10,12 @@
 if TYPE_CHECKING:
     from egretmill.host.exchange import Exchange
 
-__all__ = ('log_cut_body', 'log_early_answer', 'log_routing_decision')
+__all__ = (
+    'log_caller_gone',
+    'log_cut_body',
+    'log_early_answer',
+    'log_routing_decision',
+)
 
 
 def log_routing_decision(
@@ -64,6 +69,16 @@
     )
 
 
+def log_caller_gone(exchange: 'Exchange') -> None:
+    """Log that a caller left before its request was answered."""
+    log_event(
+        events.CATALOGUE.CALLER_GONE,
+        request_id=exchange.accepted.request_id.decode('latin-1'),
+        attempts=exchange.attempts,
+        maybe_run=exchange.maybe_run or exchange.in_flight,
+    )
+
+
 def log_cut_body(exchange: 'Exchange') -> None:
     """Log that an upstream did not get the rest of an answered request."""
     body = exchange.pending.body
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -1,6 +1,8 @@
 """Handles the requests of callers on the entry address."""
 
 import asyncio
+import dataclasses
+import functools
 import random
 
 from result import Err
@@ -12,12 +14,16 @@
 from egretmill.host.descriptors import DescriptorPlan
 from egretmill.host.event_loop import IterationTimer
 from egretmill.host.exchange import Exchange, finish_request
+from egretmill.host.exchange_log import log_caller_gone
 from egretmill.host.request_check import AcceptedRequest, check_request
 from egretmill.host.link_budget import LinkBudget
+from egretmill.host.memory import MemoryPlan
 from egretmill.host.state import HostState
 from egretmill.http1 import (
+    CallerMemory,
     ConnectionLimits,
     ConnectionUsage,
+    Eviction,
     Intake,
     PendingAnswer,
     Response,
@@ -53,6 +59,10 @@
         self.iterations: IterationTimer | None = None
         self.plan = DescriptorPlan.from_limit(state.settings.descriptors)
         self.connections = CallerConnections(self.plan.callers, state.now)
+        memory = MemoryPlan.from_limit(state.settings.memory_bytes)
+        self.memory = CallerMemory(
+            memory.callers, functools.partial(record_eviction, state)
+        )
         self.intake = Intake()
         capacity = state.settings.capacity
         self.link = LinkBudget(capacity.link_bytes_per_s, state.now)
@@ -110,6 +120,10 @@
             reason=reason,
         )
 
+    def refuse_for_memory(self, pending: PendingAnswer) -> None:
+        """Refuse a request that is received, to keep less in memory."""
+        self.refuse_overloaded(pending, 'callers keep too much memory')
+
     def start_request(self, pending: PendingAnswer) -> None:
         """Check a request and start its exchange, or refuse it."""
         if pending.is_late:
@@ -153,12 +167,8 @@
         try:
             served = await exchange.run()
         except asyncio.CancelledError:
-            log_event(
-                events.CATALOGUE.CALLER_GONE,
-                request_id=accepted.request_id.decode('latin-1'),
-                attempts=exchange.attempts,
-                maybe_run=exchange.maybe_run or exchange.in_flight,
-            )
+            if pending.response is None:
+                log_caller_gone(exchange)
             raise
         except Exception as error:  # noqa: BLE001
             self.fail(pending, accepted, exchange, error)
@@ -243,3 +253,9 @@
             error=repr(error),
         )
         self.refuse(pending, Refusal.internal(error), accepted, exchange)
+
+
+def record_eviction(state: HostState, eviction: Eviction) -> None:
+    """Log and count connections that were ended for their memory."""
+    state.metrics.callers_evicted.inc(eviction.connections)
+    log_event(events.CATALOGUE.CALLERS_EVICTED, **dataclasses.asdict(eviction))
--- a/egretmill/host/load_report.py
+++ b/egretmill/host/load_report.py
@@ -76,6 +76,7 @@
         metrics.connections.labels('caller').set(load.callers)
         metrics.connections.labels('upstream').set(load.upstreams)
         metrics.requests.set(load.requests)
+        metrics.caller_memory.set(self.handler.memory.used_bytes)
         metrics.loop_busy.set(load.longest_iteration_s)
         metrics.link_bytes.labels('in').inc(load.received_bytes)
         metrics.link_bytes.labels('out').inc(load.sent_bytes)
--- a/egretmill/host/metrics.py
+++ b/egretmill/host/metrics.py
@@ -75,6 +75,15 @@
             'Connections that the entry listener could not accept.',
             (),
         )
+        self.callers_evicted = self._counter(
+            'callers_evicted',
+            'Connections of callers that were ended for their memory.',
+            (),
+        )
+        self.caller_memory = self._gauge(
+            'caller_memory_bytes',
+            'What the connections of callers keep in memory.',
+        )
         self.connections = prometheus.Gauge(
             'egretmill_connections',
             'Open connections, of callers or to upstreams.',
--- a/egretmill/host/upstreams.py
+++ b/egretmill/host/upstreams.py
@@ -9,6 +9,7 @@
 from egretmill.fleet.view import FleetView
 from egretmill.fleet.upstreams import Upstream
 from egretmill.host.descriptors import DescriptorPlan
+from egretmill.host.memory import MemoryPlan
 from egretmill.host.settings import HostSettings
 from egretmill.host.upstream_pauses import UpstreamPauses
 from egretmill.http1 import (
@@ -57,7 +58,8 @@
         self.idle: dict[str, IdleConnections] = {}
         self.cached_orders: dict[OrderKey, tuple[UpstreamLoad, ...]] = {}
         self.generation = -1
-        self.buffers = BufferBudget()
+        memory = MemoryPlan.from_limit(settings.memory_bytes)
+        self.buffers = BufferBudget(memory.upstreams)
         self.usage = ConnectionUsage()
         self.round_trips = RoundTrips()
 
--- a/egretmill/http1/__init__.py
+++ b/egretmill/http1/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from egretmill.http1.body import Body
-from egretmill.http1.buffers import BufferBudget
+from egretmill.http1.buffers import BufferBudget, CallerMemory, Eviction
 from egretmill.http1.client import (
     CallFailure,
     ClientConnection,
@@ -36,9 +36,11 @@
     'BufferBudget',
     'Call',
     'CallFailure',
+    'CallerMemory',
     'ClientConnection',
     'ConnectionLimits',
     'ConnectionUsage',
+    'Eviction',
     'FailureCause',
     'IdleConnections',
     'Intake',
--- a/egretmill/http1/buffers.py
+++ b/egretmill/http1/buffers.py
@@ -1,11 +1,15 @@
-"""Bounds the memory that connections keep."""
+"""Bounds the memory that connections keep, in all and for one caller."""
 
 import dataclasses
+from collections.abc import Callable
+from typing import Protocol
 
 __all__ = (
     'CHUNK_OVERHEAD_RATIO',
     'HEADER_OVERHEAD_BYTES',
     'BufferBudget',
+    'CallerMemory',
+    'Eviction',
 )
 
 #: Memory that a header takes beside its bytes: its objects and their places in
@@ -16,6 +20,11 @@
 CHUNK_OVERHEAD_RATIO = 8
 #: Responses of all connections that are buffered at the same time.
 BUFFER_LIMIT_BYTES = 64 << 20
+#: What callers' connections may keep together.
+CALLER_LIMIT_BYTES = 64 << 20
+#: Connections are ended until this fraction of the limit is left, so that the
+#: search for them is rare.
+EVICTED_TO_FRACTION = 0.9
 
 
 @dataclasses.dataclass(slots=True)
@@ -35,3 +44,94 @@
     def release(self, size: int) -> None:
         """Count bytes as no longer buffered."""
         self.used_bytes -= size
+
+
+class MemoryUser(Protocol):
+    """A connection of a caller."""
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the connection keeps now."""
+        raise NotImplementedError
+
+    def release_memory(self) -> None:
+        """End what the connection keeps; it may be closed."""
+        raise NotImplementedError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Eviction:
+    """Connections that were ended because all kept too much.
+
+    :param before_bytes: what all connections kept before.
+    :param after_bytes: what they keep now.
+    """
+
+    connections: int
+    before_bytes: int
+    after_bytes: int
+
+
+def ignore_eviction(eviction: Eviction) -> None:
+    """Ignore an eviction."""
+
+
+class CallerMemory:
+    """Limits what the connections of all callers keep together.
+
+    If that is too much, those that keep the most are ended: the requests of
+    other callers are small.
+
+    :param on_evicted: called after connections were ended.
+    """
+
+    def __init__(
+        self,
+        limit_bytes: int = CALLER_LIMIT_BYTES,
+        on_evicted: Callable[[Eviction], None] = ignore_eviction,
+    ) -> None:
+        """Start without connections."""
+        self.limit_bytes = limit_bytes
+        self.on_evicted = on_evicted
+        self.used_bytes = 0
+        #: What each connection keeps, as last recorded.
+        self.recorded: dict[MemoryUser, int] = {}
+        self.is_evicting = False
+
+    def record(self, connection: MemoryUser, kept_bytes: int) -> None:
+        """Record what a connection keeps; end others if it is too much."""
+        before = self.recorded.get(connection, 0)
+        if kept_bytes == before:
+            return
+        self.used_bytes += kept_bytes - before
+        if kept_bytes:
+            self.recorded[connection] = kept_bytes
+        else:
+            del self.recorded[connection]
+        if self.used_bytes > self.limit_bytes and not self.is_evicting:
+            self.is_evicting = True
+            try:
+                self._evict()
+            finally:
+                self.is_evicting = False
+
+    def _evict(self) -> None:
+        """End connections, the largest first."""
+        for connection in tuple(self.recorded):
+            # What was sent since the last record is not kept any more.
+            self.record(connection, connection.kept_bytes)
+        before_bytes = self.used_bytes
+        if before_bytes <= self.limit_bytes:
+            return
+        allowed = self.limit_bytes * EVICTED_TO_FRACTION
+        by_size = sorted(
+            self.recorded.items(), key=lambda row: row[1], reverse=True
+        )
+        ended = 0
+        for connection, _ in by_size:
+            if self.used_bytes <= allowed:
+                break
+            connection.release_memory()
+            self.record(connection, connection.kept_bytes)
+            ended += 1
+        self.on_evicted(Eviction(ended, before_bytes, self.used_bytes))
--- a/egretmill/http1/handling.py
+++ b/egretmill/http1/handling.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from egretmill.http1.body import Body
+from egretmill.http1.buffers import CallerMemory
 from egretmill.http1.intake import Intake
 from egretmill.http1.messages import RequestHead, Response
 from egretmill.http1.usage import ConnectionUsage
@@ -40,6 +41,8 @@
     leaving: bool
     #: Counts the connections.
     usage: ConnectionUsage
+    #: Limits what the connections of all callers keep.
+    memory: CallerMemory
     #: Decides when the input of a connection is parsed.
     intake: Intake
 
@@ -59,6 +62,10 @@
         """Handle a request that is malformed, too long or too slow."""
         raise NotImplementedError
 
+    def refuse_for_memory(self, pending: 'PendingAnswer') -> None:
+        """Refuse a request that has not run and is not received whole."""
+        raise NotImplementedError
+
 
 class PendingAnswer:
     """A request whose answer has not been sent yet."""
@@ -86,6 +93,14 @@
         """Return whether the caller has disconnected."""
         return self.connection.transport is None
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the request and its answer take."""
+        kept_bytes = self.head.kept_bytes + self.body.buffered_bytes
+        if self.response is not None:
+            kept_bytes += len(self.response.body)
+        return kept_bytes
+
     def cancel(self) -> None:
         """Stop serving the request, as if its caller had disconnected."""
         if self.response is None and self.on_disconnect is not None:
--- a/egretmill/http1/messages.py
+++ b/egretmill/http1/messages.py
@@ -4,6 +4,8 @@
 import http
 from collections.abc import Iterable
 
+from egretmill.http1.buffers import HEADER_OVERHEAD_BYTES
+
 __all__ = (
     'UNFORWARDED_HEADERS',
     'Header',
@@ -42,6 +44,7 @@
     :param headers: names as they were sent, in their order.
     :param fields: the last value of each header, by lower-case name.
     :param received_at: loop time at which the head was complete.
+    :param kept_bytes: memory that target and headers take.
     """
 
     method: bytes = b''
@@ -49,9 +52,16 @@
     headers: list[Header] = dataclasses.field(default_factory=list)
     fields: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
     received_at: float = 0
+    kept_bytes: int = 0
+
+    def add_target(self, part: bytes) -> None:
+        """Append to the target."""
+        self.target += part
+        self.kept_bytes += len(part)
 
     def add_header(self, name: bytes, text: bytes) -> None:
         """Append a header."""
+        self.kept_bytes += len(name) + len(text) + HEADER_OVERHEAD_BYTES
         self.headers.append((name, text))
         self.fields[name.lower()] = text
 
--- a/egretmill/http1/receiving.py
+++ b/egretmill/http1/receiving.py
@@ -40,6 +40,11 @@
         """Return whether another request, or more of one, can be taken."""
         raise NotImplementedError
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the connection keeps now."""
+        raise NotImplementedError
+
     @property
     def can_parse(self) -> bool:
         """Return whether there are bytes to parse, and room for requests."""
@@ -76,6 +81,7 @@
         except Exception:
             self.reset()
             raise
+        self.handler.memory.record(self, self.kept_bytes)
 
     def input_parsed(self) -> None:
         """Read on, unless there is no room for further requests."""
@@ -84,6 +90,7 @@
             return
         if self.closing:
             self.unparsed = b''
+            self.handler.memory.record(self, self.kept_bytes)
         can_read = self.closing or (not self.unparsed and self.has_room)
         self.set_reading(enabled=can_read)
 
--- a/egretmill/http1/request_reader.py
+++ b/egretmill/http1/request_reader.py
@@ -77,6 +77,16 @@
         self.framing_bytes = 0
         self.unbroken_framing_bytes = 0
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the request being read takes here."""
+        line_bytes = min(
+            self.unbroken_framing_bytes, self.max_head_bytes + SLICE_BYTES
+        )
+        if self.reading_head:
+            return self.head.kept_bytes + line_bytes
+        return line_bytes
+
     def slice_bytes(self, available: int) -> int:
         """Return how many of the available bytes to parse at once."""
         return min(available, self.due_bytes or SLICE_BYTES)
@@ -129,7 +139,7 @@
 
     def on_url(self, target: bytes) -> None:
         """Append to the request target, which can arrive in pieces."""
-        self.head.target += target
+        self.head.add_target(target)
         self._count_head_bytes(len(target))
 
     def on_header(self, name: bytes, text: bytes) -> None:
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -4,10 +4,11 @@
 """
 
 import collections
+from collections.abc import Iterable
 from typing import Any
 
 from egretmill.decoding import parse_count
-from egretmill.http1.body import Body
+from egretmill.http1.body import BODY_BUFFER_BYTES, Body
 from egretmill.http1.handling import PendingAnswer, RequestHandler
 from egretmill.http1.messages import (
     RequestHead,
@@ -22,6 +23,9 @@
 #: Requests of one connection that are served at the same time; reading from
 #: the connection pauses until one is answered.
 MAX_PIPELINED_REQUESTS = 64
+#: Memory of a connection from which it takes no further request until one is
+#: answered. The longest body and head fit beside a body that waits.
+MAX_KEPT_BYTES = 2 * BODY_BUFFER_BYTES
 #: Time for the first request of a caller that has connected just before a
 #: stop, in seconds: several round trips between regions.
 FIRST_REQUEST_WAIT_S = 0.25
@@ -34,7 +38,9 @@
     """One connection of a caller.
 
     It keeps received bytes that are not parsed yet, the requests that are
-    received or served, and their answers.
+    received or served, and their answers. The handler's
+    :class:`~egretmill.http1.buffers.CallerMemory` bounds the sum over all
+    connections.
     """
 
     def __init__(self, handler: RequestHandler) -> None:
@@ -61,6 +67,21 @@
         """Return whether closing would interrupt a request."""
         return self.is_serving or self.has_partial_head or self.is_closed
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the connection keeps now."""
+        if self.transport is None:
+            return 0
+        kept_bytes = self.transport.get_write_buffer_size()
+        if self.transport.is_closing():
+            return kept_bytes
+        kept_bytes += len(self.unparsed) + self.reader.kept_bytes
+        kept_bytes += _sum_kept_bytes(self.queue)
+        receiving = self.receiving
+        if receiving is not None and receiving not in self.queue:
+            kept_bytes += receiving.body.buffered_bytes
+        return kept_bytes
+
     @property
     def has_room(self) -> bool:
         """Return whether another request, or more of one, can be taken."""
@@ -69,7 +90,13 @@
             return False
         if not self.writable.is_set():
             return False
-        return len(self.queue) < MAX_PIPELINED_REQUESTS
+        waiting = len(self.queue)
+        if waiting <= 1:
+            return True
+        return (
+            waiting < MAX_PIPELINED_REQUESTS
+            and self.kept_bytes < MAX_KEPT_BYTES
+        )
 
     def connection_made(self, transport: Any) -> None:
         """Start to read requests."""
@@ -87,6 +114,7 @@
             pending.cancel()
         self.queue.clear()
         self.cut_input()
+        self.handler.memory.record(self, 0)
         self.handler.connection_closed(self)
 
     def head_started(self) -> None:
@@ -163,6 +191,7 @@
             return
         if not self.is_serving:
             self.timer.arm(self.handler.limits.idle_s)
+        self.handler.memory.record(self, self.kept_bytes)
         self.resume_reading()
 
     def shut_down(self) -> None:
@@ -170,6 +199,23 @@
         self.closing = True
         self.close()
 
+    def release_memory(self) -> None:
+        """End what the connection keeps, because all keep too much.
+
+        A request that is still received, and of which nothing was sent on, is
+        refused. Otherwise, the connection is reset.
+        """
+        pending = self.receiving
+        self.cut_input()
+        if pending is None or not _can_refuse(self, pending):
+            self.reset()
+            return
+        self.receiving = None
+        pending.cancel()
+        pending.is_cut = True
+        pending.keep_alive = False
+        self.handler.refuse_for_memory(pending)
+
     def reject(self, status: int, reason: str) -> None:
         """Answer an unreadable request after the earlier answers, and close.
 
@@ -214,6 +260,17 @@
         connection.shut_down()
 
 
+def _sum_kept_bytes(requests: Iterable[PendingAnswer]) -> int:
+    return sum(pending.kept_bytes for pending in requests)
+
+
+def _can_refuse(connection: ServerConnection, pending: PendingAnswer) -> bool:
+    """Return whether the request being received is the only one, and unsent."""
+    if len(connection.queue) > 1 or pending.response is not None:
+        return False
+    return pending.body.replayable
+
+
 def _close_after(connection: ServerConnection, pending: PendingAnswer) -> None:
     """Close a connection whose last answer is written.
 
--- a/tests/http1/harness.py
+++ b/tests/http1/harness.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from egretmill.http1 import (
+    CallerMemory,
     ConnectionLimits,
     ConnectionUsage,
     Intake,
@@ -29,6 +30,7 @@
     connections: list[ServerConnection] = dataclasses.field(
         default_factory=list,
     )
+    memory: CallerMemory = dataclasses.field(default_factory=CallerMemory)
     intake: Intake = dataclasses.field(default_factory=Intake)
 
     def start_request(self, pending):
@@ -50,6 +52,11 @@
         """Record the status for an unreadable request."""
         self.errors.append(status)
 
+    def refuse_for_memory(self, pending):
+        """Record and refuse a request."""
+        self.errors.append(503)
+        pending.answer(Response(503))
+
 
 class FakeTransport(asyncio.Transport):
     """Keeps what a connection writes, up to its close."""
@@ -77,6 +84,10 @@
     abort = close
     write_eof = close
 
+    def get_write_buffer_size(self):
+        """Return that all is sent."""
+        return 0
+
     def is_closing(self):
         """Return whether the connection is closed."""
         return self.closed
--- a/tests/http1/test_caller_limits.py
+++ b/tests/http1/test_caller_limits.py
@@ -5,8 +5,10 @@
 
 import pytest
 
-from egretmill.http1 import ConnectionLimits
+from egretmill.http1 import CallerMemory, ConnectionLimits
 from egretmill.http1.body import JOINED_CHUNK_BYTES
+from egretmill.http1.buffers import HEADER_OVERHEAD_BYTES
+from egretmill.http1.server import MAX_KEPT_BYTES
 from tests.http1.harness import (
     Recorder,
     ok_response,
@@ -14,6 +16,7 @@
     serve_connection,
     wait_until,
 )
+from tests.http1.test_server import GET_B
 
 LIMITS = ConnectionLimits(header_bytes=500)
 CHUNKED = b'POST /u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -53,6 +56,7 @@
         assert not await reader.read()
         await sending
     assert recorder.errors == [431]
+    assert recorder.memory.used_bytes == 0
 
 
 async def test_trailers_without_end_are_rejected():
@@ -125,3 +129,73 @@
         writer.write(CHUNKED + chunk * 100)
         head, _ = await read_response(reader)
     assert head.startswith(b'HTTP/1.1 400')
+
+
+async def test_connection_takes_no_more_requests_than_it_has_room_for():
+    """Guards against one caller whose pipelined requests fill the memory."""
+    recorder = Recorder()
+    body = b'x' * (MAX_KEPT_BYTES // 10)
+    request = b'POST /u HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body)
+    async with serve_connection(recorder) as (reader, writer):
+        sending = asyncio.create_task(
+            send_parts(writer, (request + body for _ in range(30)))
+        )
+        await wait_until(lambda: len(recorder.requests) >= 10)
+        await asyncio.sleep(0.2)
+        assert len(recorder.requests) <= 11
+        answered = 0
+        while answered < 30:
+            for pending in recorder.requests[answered:]:
+                pending.answer(ok_response())
+                await read_response(reader)
+                answered += 1
+            await asyncio.sleep(0)
+        await sending
+    assert not recorder.errors
+
+
+async def test_largest_request_is_refused_if_callers_keep_too_much():
+    """Guards against many bodies of legal size that fill the memory."""
+    recorder = Recorder(memory=CallerMemory(200000))
+    upload = b'POST /u HTTP/1.1\r\nContent-Length: 300000\r\n\r\n'
+    async with (
+        serve_connection(recorder) as (reader, writer),
+        serve_connection(recorder) as (_, small),
+    ):
+        small.write(upload + b'x' * 10000)
+        writer.write(upload + b'x' * 100000)
+        await wait_until(lambda: recorder.memory.used_bytes > 100000)
+        writer.write(b'x' * 100000)
+        head, _ = await read_response(reader)
+        assert head.startswith(b'HTTP/1.1 503')
+        assert b'Connection: close' in head
+        assert recorder.errors == [503]
+        assert 10000 < recorder.memory.used_bytes < 20000
+    await wait_until(lambda: not recorder.connections)
+    assert recorder.memory.used_bytes == 0
+
+
+async def test_headers_count_by_the_memory_of_their_objects():
+    """Guards against short headers that take far more than their bytes."""
+    recorder = Recorder()
+    async with serve_connection(recorder) as (_, writer):
+        writer.write(b'GET / HTTP/1.1\r\n' + b'a:\r\n' * 1000 + b'b')
+        at_least = 1000 * HEADER_OVERHEAD_BYTES
+        await wait_until(lambda: recorder.memory.used_bytes > at_least)
+
+
+async def test_answers_that_are_not_read_count_until_their_end():
+    """Guards against callers that let answers pile up."""
+    recorder = Recorder(memory=CallerMemory(8 << 20))
+    async with serve_connection(recorder) as (_, writer):
+        for _ in range(40):
+            writer.write(GET_B)
+        writer.transport.pause_reading()
+        await wait_until(lambda: recorder.requests)
+        answered = 0
+        while recorder.connections:
+            for request in recorder.requests[answered:]:
+                request.answer(ok_response(b'x' * (1 << 20)))
+                answered += 1
+            await asyncio.sleep(0.01)
+    assert recorder.memory.used_bytes == 0
