End requests that never end, and make room for other callers

While 380 clients sent uploads at a byte each half second, no ordinary caller got an answer within 20 s.

Cause: a request whose answer had been sent kept its connection open for as long as its caller liked, and such connections, like those in the middle of a head, counted as busy and were never closed. Uploads that waited for their body took the places of requests at upstreams.

The rest of an answered request is read for 60 s at most. When the host has no room for another caller it closes, behind idle connections, those whose callers wait for no answer: a part of a head has arrived, or the rest of an answered request is due, for half a second at least. A request counts as one at work only when its body can be sent on. A timer that is restarted with a shorter limit fires in time, and a caller that does not read is reset, not waited for.

Callers that send their requests in full lose nothing: an unanswered request is never closed.

--- a/egretmill/host/callers.py
+++ b/egretmill/host/callers.py
@@ -19,7 +19,8 @@
         self.limit = limit
         self.now = now
         self.open: dict[ServerConnection, None] = {}
-        #: Those without a request at work and since when, the longest first.
+        #: Those without an unanswered request and since when, the longest
+        #: first.
         self.idle: dict[ServerConnection, float] = {}
 
     def __len__(self) -> int:
@@ -50,23 +51,45 @@
         self.idle.pop(connection, None)
 
     def mark_idle(self, connection: ServerConnection) -> None:
-        """Record the end of a request; others may still be at work."""
-        if connection in self.open and not connection.is_serving:
+        """Record the answer to a request; others may still be at work.
+
+        The rest of an answered request can still arrive.
+        """
+        if connection in self.open and not connection.queue:
+            self.idle.pop(connection, None)
             self.idle[connection] = self.now()
 
-    def close_idle(self, count: int, min_idle_s: float = 0) -> int:
+    def close_idle(
+        self,
+        count: int,
+        min_idle_s: float = 0,
+        *,
+        includes_receiving: bool = False,
+    ) -> int:
         """Close idle connections; return how many were closed.
 
         :param count: how many to close at most.
         :param min_idle_s: how long they must have been idle, in seconds.
+        :param includes_receiving: if these do not suffice, close those that
+            are idle but for a part of a request whose answer is not awaited: a
+            head without its end, or the rest of an answered request.
         """
         idle_since = self.now() - min_idle_s
-        idle = (
-            connection
-            for connection, since in self.idle.items()
-            if since <= idle_since and not connection.is_busy
-        )
-        closed = tuple(itertools.islice(idle, count))
+        unused = self._unused_since(idle_since, receiving=False)
+        if includes_receiving:
+            receiving = self._unused_since(idle_since, receiving=True)
+            unused = itertools.chain(unused, receiving)
+        closed = tuple(itertools.islice(unused, count))
         for connection in closed:
-            connection.shut_down()
+            connection.give_up()
         return len(closed)
+
+    def _unused_since(
+        self, idle_since: float, *, receiving: bool
+    ) -> Iterator[ServerConnection]:
+        """Yield open connections without an unanswered request."""
+        for connection, since in self.idle.items():
+            if since > idle_since or connection.is_closed or connection.queue:
+                continue
+            if connection.is_busy == receiving:
+                yield connection
--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -75,7 +75,9 @@
         closed = 0
         if room < MAX_ACCEPTED_AT_ONCE:
             closed = connections.close_idle(
-                MAX_ACCEPTED_AT_ONCE - room, MIN_IDLE_S
+                MAX_ACCEPTED_AT_ONCE - room,
+                MIN_IDLE_S,
+                includes_receiving=room <= 0,
             )
         if room <= 0:
             if not closed:
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -106,7 +106,7 @@
 
     async def _run(self) -> Result[Response, Refusal]:
         if self.pending.head.has_body:
-            await self.pending.body.wait_until_forwardable()
+            await _wait_for_body(self)
         refused = await self._admit()
         if refused is not None:
             return Err(refused)
@@ -399,6 +399,15 @@
     exchange.pending.body.discard()
 
 
+async def _wait_for_body(exchange: Exchange) -> None:
+    """Wait until the body can be sent; no upstream is needed meanwhile."""
+    exchange.state.awaited_bodies += 1
+    try:
+        await exchange.pending.body.wait_until_forwardable()
+    finally:
+        exchange.state.awaited_bodies -= 1
+
+
 def _cut_request(exchange: Exchange) -> None:
     """Send no more of a body whose early answer is not passed on."""
     if exchange.unfinished is not None:
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -133,7 +133,8 @@
         if self.is_loop_late(pending.head.received_at):
             self.refuse_overloaded(pending, 'event loop is late')
             return
-        if len(self.tasks) >= self.plan.requests:
+        at_work = len(self.tasks) - self.state.awaited_bodies
+        if at_work >= self.plan.requests:
             # Its descriptor is needed by another caller.
             pending.keep_alive = False
             self.refuse_overloaded(pending, 'too many requests at work')
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -54,6 +54,7 @@
     :param leaving: the host is shutting down.
     :param accepting: connections of callers can be accepted.
     :param accept_failures: connections that could not be accepted so far.
+    :param awaited_bodies: requests that wait for their body to arrive.
     """
 
     settings: HostSettings
@@ -75,6 +76,7 @@
     leaving: bool = False
     accepting: bool = True
     accept_failures: int = 0
+    awaited_bodies: int = 0
     #: Called with the record of an upstream that says that it is leaving.
     on_leaving: Callable[[Upstream], None] = ignore_upstream
     limits: ConnectionLimits = ConnectionLimits()
--- a/egretmill/http1/handling.py
+++ b/egretmill/http1/handling.py
@@ -24,12 +24,15 @@
     :param header_s: longest time from the first byte of a head to its end,
         in seconds.
     :param idle_s: longest time without a request, in seconds.
+    :param discard_s: longest time for which the rest of a request that was
+        answered before its end is read and dropped, in seconds.
     """
 
     header_bytes: int = 65536
     body_bytes: int = 67108864
     header_s: float = 10
     idle_s: float = 60
+    discard_s: float = 60
 
 
 class RequestHandler(Protocol):
--- a/egretmill/http1/read_timer.py
+++ b/egretmill/http1/read_timer.py
@@ -14,7 +14,7 @@
 
 
 class ReadTimer:
-    """Times out slow request heads and idle connections.
+    """Times out slow requests and idle connections.
 
     The timer is not rescheduled for each request; when it fires early, it
     waits for the time that remains.
@@ -30,11 +30,23 @@
     def arm(self, limit_s: float) -> None:
         """Restart the timeout."""
         self.started_at = self.loop.time()
-        if self.timer_handle is None:
+        handle = self.timer_handle
+        if handle is not None and handle.when() > self.started_at + limit_s:
+            handle.cancel()
+            handle = None
+        if handle is None:
             self.timer_handle = self.loop.call_later(
                 limit_s, self.check_timeout
             )
 
+    def arm_after_answer(self) -> None:
+        """Restart the timeout unless further answers are due."""
+        limits = self.connection.handler.limits
+        if self.connection.awaits_rest:
+            self.arm(limits.discard_s)
+        elif not self.connection.is_serving:
+            self.arm(limits.idle_s)
+
     def cancel(self) -> None:
         """Cancel the timer."""
         if self.timer_handle is not None:
@@ -46,14 +58,27 @@
         connection = self.connection
         if connection.transport is None:
             return
-        reading = connection.reader.reading_head
-        limits = connection.handler.limits
-        limit_s = limits.header_s if reading else limits.idle_s
-        remaining_s = self.started_at + limit_s - self.loop.time()
-        if remaining_s > 0 or connection.is_serving:
-            wait_s = max(remaining_s, MIN_CHECK_INTERVAL_S)
-            self.timer_handle = self.loop.call_later(wait_s, self.check_timeout)
-        elif reading:
+        limit_s = self._limit_s()
+        wait_s = MIN_CHECK_INTERVAL_S
+        if limit_s is not None:
+            wait_s = self.started_at + limit_s - self.loop.time()
+        if wait_s > 0:
+            self.timer_handle = self.loop.call_later(
+                max(wait_s, MIN_CHECK_INTERVAL_S), self.check_timeout
+            )
+        elif connection.reader.reading_head:
             connection.reject(HTTP_REQUEST_TIMEOUT, 'head came too slowly')
         else:
-            connection.shut_down()
+            connection.give_up()
+
+    def _limit_s(self) -> float | None:
+        """Return the limit in force; ``None`` while the caller waits."""
+        connection = self.connection
+        limits = connection.handler.limits
+        if connection.awaits_rest:
+            return limits.discard_s
+        if connection.is_serving:
+            return None
+        if connection.reader.reading_head:
+            return limits.header_s
+        return limits.idle_s
--- a/egretmill/http1/receiving.py
+++ b/egretmill/http1/receiving.py
@@ -116,6 +116,14 @@
         super().resume_writing()
         self.resume_reading()
 
+    def give_up(self) -> None:
+        """Close the connection without waiting for its caller."""
+        self.closing = True
+        if self.writable.is_set():
+            self.close()
+        else:
+            self.reset()
+
     def cut_input(self) -> None:
         """Take no further request, and no more of the current one."""
         self.closing = True
@@ -129,4 +137,4 @@
             return
         transport.write_eof()
         self.set_reading(enabled=True)
-        self.loop.call_later(LINGER_S, self.close)
+        self.loop.call_later(LINGER_S, self.give_up)
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -62,6 +62,14 @@
         """Return whether a request is being received or served."""
         return bool(self.queue) or self.receiving is not None
 
+    @property
+    def awaits_rest(self) -> bool:
+        """Return whether only the rest of an answered request is due."""
+        receiving = self.receiving
+        if self.queue or receiving is None:
+            return False
+        return receiving.body.discarded
+
     @property
     def is_busy(self) -> bool:
         """Return whether closing would interrupt a request."""
@@ -189,8 +197,7 @@
                 _close_after(self, pending)
         if self.is_closed:
             return
-        if not self.is_serving:
-            self.timer.arm(self.handler.limits.idle_s)
+        self.timer.arm_after_answer()
         self.handler.memory.record(self, self.kept_bytes)
         self.resume_reading()
 
--- a/tests/host/test_handler.py
+++ b/tests/host/test_handler.py
@@ -13,9 +13,15 @@
     def __init__(self, handler, *, busy):
         self.handler = handler
         self.is_busy = busy
+        self.queue = [object()] if busy else []
         self.ended = False
 
-    def shut_down(self):
+    @property
+    def is_closed(self):
+        """Return whether the connection is closed."""
+        return self.ended
+
+    def give_up(self):
         """Close; the handler is notified."""
         self.ended = True
         self.is_busy = True
--- a/tests/http1/test_caller_limits.py
+++ b/tests/http1/test_caller_limits.py
@@ -199,3 +199,15 @@
                 answered += 1
             await asyncio.sleep(0.01)
     assert recorder.memory.used_bytes == 0
+
+
+async def test_rest_of_an_answered_request_has_a_time_limit():
+    """Guards against uploads that hold a descriptor for ever."""
+    recorder = Recorder(ConnectionLimits(discard_s=0.05))
+    async with serve_connection(recorder) as (reader, writer):
+        writer.write(b'POST /u HTTP/1.1\r\nContent-Length: 10\r\n\r\n12345')
+        await wait_until(lambda: recorder.requests)
+        recorder.requests[0].answer(ok_response())
+        await read_response(reader)
+        async with asyncio.timeout(5):
+            assert not await reader.read()
