Serve the host's other addresses as its entry

A request with a body of 16 MiB on the readiness, directory or metrics address, or on the one that other hosts read copies from, was kept up to 100 MB although no page reads a body: 160 of them took 722 to 726 MB. Idle connections to the directory took all descriptors of the host, and no caller of the entry got an answer.

Cause: these addresses were served by another server with its own, much larger limits and none for the number of connections.

They are served by the connections of the entry now, with the same limits, the same bound of memory and the same turns: one mechanism for every HTTP listener of the host. A request is answered when its head has arrived; a body is dropped. Each address has a part of the reserved descriptors (3% for the directory, 1% for each other one, 8 at least); one more caller closes the connection that has been unused for longest.

--- a/egretmill/host/listeners.py
+++ b/egretmill/host/listeners.py
@@ -1,21 +1,22 @@
-"""Listening addresses of a host: the entry, and its other endpoints."""
+"""Listening addresses of a host: the entry, and its pages."""
 
+import asyncio
 import dataclasses
+import functools
 from collections.abc import Iterable
 
-from tornado import httpserver, web
-
 from egretmill.host.entry_listener import EntryListener
 from egretmill.host.handler import EntryHandler
-from egretmill.host.settings import Endpoint
+from egretmill.host.pages import PageHandler, Pages
 from egretmill.host.state import HostState
-from egretmill.listening import listen
+from egretmill.http1 import ServerConnection
+from egretmill.listening import RefusingSocket
 
-__all__ = ('Listeners',)
+__all__ = ('Listeners', 'serve_pages')
 
-#: Callers of the other endpoints keep an idle connection for this long, in
-#: seconds; each holds a descriptor.
-IDLE_TIMEOUT_S = 60.0
+#: Length of the queue of new connections to pages. As many are accepted in one
+#: iteration of the event loop, before surplus ones are closed.
+PAGE_BACKLOG = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,27 +24,39 @@
     """Open listeners of the host."""
 
     entry: EntryListener
-    http_servers: list[httpserver.HTTPServer]
+    page_servers: list[asyncio.Server]
 
     @classmethod
-    def open(
+    async def open(
         cls,
         state: HostState,
         handler: EntryHandler,
-        applications: Iterable[tuple[Endpoint, web.Application]],
+        pages: Iterable[Pages],
     ) -> 'Listeners':
         """Listen on all addresses; callers of the entry go to the handler."""
         entry = EntryListener(state, handler)
         entry.open()
-        http_servers = []
-        for endpoint, application in applications:
-            other = httpserver.HTTPServer(
-                application, idle_connection_timeout=IDLE_TIMEOUT_S
+        page_servers = [
+            await serve_pages(
+                PageHandler(state, row, handler.memory, handler.intake)
             )
-            listen(other, endpoint.port, endpoint.address)
-            http_servers.append(other)
-        return cls(entry, http_servers)
+            for row in pages
+        ]
+        return cls(entry, page_servers)
 
     def close(self) -> None:
         """Close the entry listener."""
         self.entry.close()
+
+
+async def serve_pages(handler: PageHandler) -> asyncio.Server:
+    """Listen on the address of pages.
+
+    :raises OSError: when the address cannot be used.
+    """
+    endpoint = handler.pages.endpoint
+    return await asyncio.get_running_loop().create_server(
+        functools.partial(ServerConnection, handler),
+        sock=RefusingSocket.open(endpoint.address, endpoint.port, PAGE_BACKLOG),
+        backlog=PAGE_BACKLOG,
+    )
--- a/egretmill/host/peer_copies.py
+++ b/egretmill/host/peer_copies.py
@@ -5,20 +5,23 @@
 """
 
 import asyncio
+import dataclasses
 import math
 
 from result import Err, Ok, Result
-from tornado import web
 
 from egretmill import events
+from egretmill.host.descriptors import DescriptorPlan
+from egretmill.host.pages import PageRequest, Pages
+from egretmill.host.settings import Endpoint
 from egretmill.host.state import HostState
-from egretmill.http1 import Body, Call, connect
+from egretmill.http1 import Body, Call, Response, connect
 from egretmill.logs import log_event
 from egretmill.peers.copies import TableCopy, decode_copy, encode_copy
 from egretmill.peers.table import Peer
 from egretmill.tables.watch import TableWatch
 
-__all__ = ('CopyClient', 'make_copy_application')
+__all__ = ('CopyClient', 'make_copy_pages')
 
 COPY_PATH = '/copy'
 HTTP_OK = 200
@@ -33,32 +36,33 @@
 REQUEST_TIMEOUT_S = 1.5
 
 
-class CopyHandler(web.RequestHandler):
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyPage:
     """Answers other hosts with this host's copy of the table."""
 
-    def initialize(self, state: HostState, watch: TableWatch) -> None:
-        """Set where the copy is taken from."""
-        self.state = state
-        self.watch = watch
+    state: HostState
+    watch: TableWatch
 
-    def get(self) -> None:
-        """Answer with the copy; 503 if there is none."""
+    def __call__(self, request: PageRequest) -> Response:
+        """Return the copy; 503 if there is none."""
         snapshot = self.watch.snapshot()
         age_s = self.state.view.configuration_age_s()
         if snapshot is None or not math.isfinite(age_s):
-            self.set_status(HTTP_UNAVAILABLE)
-            self.finish()
-            return
-        self.set_header('Content-Type', 'application/msgpack')
-        self.finish(encode_copy(TableCopy.from_snapshot(snapshot, age_s)))
-
-
-def make_copy_application(
-    state: HostState, watch: TableWatch
-) -> web.Application:
-    """Return the application that other hosts read the copy from."""
-    arguments = {'state': state, 'watch': watch}
-    return web.Application([(COPY_PATH, CopyHandler, arguments)])
+            return Response(HTTP_UNAVAILABLE)
+        response = Response(HTTP_OK)
+        response.add_header(b'Content-Type', b'application/msgpack')
+        response.body = encode_copy(TableCopy.from_snapshot(snapshot, age_s))
+        return response
+
+
+def make_copy_pages(state: HostState, watch: TableWatch) -> Pages:
+    """Return the pages that other hosts read the copy from."""
+    settings = state.settings
+    return Pages(
+        Endpoint(settings.address, settings.peer_port),
+        {COPY_PATH: CopyPage(state, watch)},
+        DescriptorPlan.from_limit(settings.descriptors).page_callers,
+    )
 
 
 class CopyClient:
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 
 from result import Err, Result
-from tornado import web
 
 from egretmill import events
 from egretmill.fleet.view import Topic
@@ -17,9 +16,10 @@
 from egretmill.host.listeners import Listeners
 from egretmill.host.load_report import LoadReport
 from egretmill.host.metrics import HostMetrics
-from egretmill.host.peer_copies import CopyClient, make_copy_application
+from egretmill.host.pages import Pages
+from egretmill.host.peer_copies import CopyClient, make_copy_pages
 from egretmill.host.roster_keeper import ROSTER_TABLE, RosterKeeper
-from egretmill.host.settings import Endpoint, HostSettings
+from egretmill.host.settings import HostSettings
 from egretmill.host.state import HostState
 from egretmill.host.state_updater import StateUpdater
 from egretmill.http1 import drain
@@ -57,11 +57,8 @@
         """Return the watches of the platform's own tables, by topic."""
         raise NotImplementedError
 
-    def applications(
-        self,
-        state: HostState,
-    ) -> Sequence[tuple[Endpoint, web.Application]]:
-        """Return the endpoints other than the entry."""
+    def pages(self, state: HostState) -> Sequence[Pages]:
+        """Return the pages that the platform asks for."""
         raise NotImplementedError
 
     def settings_changed(self) -> bool:
@@ -109,9 +106,7 @@
     async def run(self, signals: StopSignals) -> int:
         """Serve until the first signal, then shut down gracefully."""
         started_at = self.state.now()
-        listeners = Listeners.open(
-            self.state, self.handler, self.applications()
-        )
+        listeners = await Listeners.open(self.state, self.handler, self.pages())
         log_event(
             events.CATALOGUE.STARTED,
             host=self.state.settings.name,
@@ -143,16 +138,10 @@
             ),
         ]
 
-    def applications(self) -> Sequence[tuple[Endpoint, web.Application]]:
-        """Return the endpoints other than the entry."""
-        settings = self.state.settings
-        copies = make_copy_application(
-            self.state, self.watches[Topic.CONFIGURATION]
-        )
-        return (
-            *self.adapter.applications(self.state),
-            (Endpoint(settings.address, settings.peer_port), copies),
-        )
+    def pages(self) -> Sequence[Pages]:
+        """Return the pages of all addresses other than the entry."""
+        copies = make_copy_pages(self.state, self.watches[Topic.CONFIGURATION])
+        return (*self.adapter.pages(self.state), copies)
 
     def poll_all_tables(self) -> None:
         """Read all tables now, because the store has returned."""
--- a/tests/host/test_peer_copies.py
+++ b/tests/host/test_peer_copies.py
@@ -4,17 +4,18 @@
 import contextlib
 
 import pytest
-from tornado.httpserver import HTTPServer
-from tornado.testing import bind_unused_port
 
 from egretmill.fleet.freshness import boot_time
 from egretmill.host.heartbeats import HeartbeatService
+from egretmill.host.listeners import serve_pages
+from egretmill.host.pages import PageHandler
 from egretmill.host.peer_copies import (
     ASK_AFTER_S,
     REQUEST_TIMEOUT_S,
     CopyClient,
-    make_copy_application,
+    make_copy_pages,
 )
+from egretmill.http1 import CallerMemory, Intake
 from egretmill.peers.copies import TableCopy, decode_copy, encode_copy
 from egretmill.peers.table import Peer
 from egretmill.tables import PollTiming, Snapshot, StoredRow, TableWatch
@@ -49,18 +50,19 @@
     return CopyClient(state, make_watch(OLD))
 
 
-@contextlib.contextmanager
-def serve_copy(snapshot, age_s=0.2):
+@contextlib.asynccontextmanager
+async def serve_copy(snapshot, age_s=0.2):
     """Serve a copy as another host does; yield the host."""
     state = make_state()
     state.view.configuration_freshness.confirmed_at = boot_time() - age_s
-    listener, port = bind_unused_port()
-    server = HTTPServer(make_copy_application(state, make_watch(snapshot)))
-    server.add_socket(listener)
+    pages = make_copy_pages(state, make_watch(snapshot))
+    handler = PageHandler(state, pages, CallerMemory(), Intake())
+    server = await serve_pages(handler)
+    port = server.sockets[0].getsockname()[1]
     try:
         yield Peer('h2', (ADDRESS, port))
     finally:
-        server.stop()
+        server.close()
 
 
 async def ask(client, peer):
@@ -73,7 +75,7 @@
 async def test_host_without_the_store_gets_a_newer_copy_from_a_peer():
     """Guards against a host that stays outdated although its peers are not."""
     client = make_outdated_client()
-    with serve_copy(NEW) as peer:
+    async with serve_copy(NEW) as peer:
         await ask(client, peer)
     assert client.watch.listener.snapshots[-1] == NEW.rows
     assert client.watch.version == NEW.version
@@ -84,7 +86,7 @@
     """Guards against keys that count as fresher than the store says."""
     client = make_outdated_client()
     asked_at = boot_time()
-    with serve_copy(NEW, age_s=1.5) as peer:
+    async with serve_copy(NEW, age_s=1.5) as peer:
         await ask(client, peer)
     confirmed_at = client.watch.listener.confirmation_times[-1]
     assert confirmed_at == pytest.approx(asked_at - 1.5, abs=0.1)
@@ -93,7 +95,7 @@
 async def test_copy_that_is_not_newer_confirms_nothing():
     """Guards against the age of one copy beside the rows of another."""
     client = make_outdated_client()
-    with serve_copy(OLD) as peer:
+    async with serve_copy(OLD) as peer:
         await ask(client, peer)
     assert client.watch.listener.confirmation_times == []
 
@@ -102,7 +104,7 @@
 async def test_copy_that_is_not_newer_is_not_used(snapshot):
     """Guards against a configuration that comes back older."""
     client = make_outdated_client()
-    with serve_copy(snapshot) as peer:
+    async with serve_copy(snapshot) as peer:
         await ask(client, peer)
     assert client.watch.listener.snapshots == [OLD.rows]
     assert client.watch.snapshot() == OLD
@@ -118,7 +120,7 @@
 async def test_peers_are_asked_one_at_a_time():
     """Guards against a busy link that carries the same copy many times."""
     client = make_outdated_client()
-    with serve_copy(NEW) as peer:
+    async with serve_copy(NEW) as peer:
         client.ask_if_behind(peer)
         task = client.task
         client.ask_if_behind(Peer('h3', (ADDRESS, 1)))
@@ -146,7 +148,7 @@
 async def test_host_without_a_copy_passes_nothing_on():
     """Guards against an empty table that replaces a configuration."""
     client = make_outdated_client()
-    with serve_copy(NEW, age_s=float('inf')) as peer:
+    async with serve_copy(NEW, age_s=float('inf')) as peer:
         await ask(client, peer)
     assert client.watch.snapshot() == OLD
 
