Bound what callers of egretmill-entry, -steer and -agent send

200 callers with 12 KB of short header lines took egretmill-entry to 115 to 138 MB, whether they had a key or not, and 500 idle ones kept all others out.

Cause: the server had no limit for the number of connections, for the sum of the heads or for a body without a route (100 MB), and the headers of a request stayed until the next garbage collection.

The three programs use one server with limits: connections (half of the descriptors at most; beyond that the connection that has been open for longest and waits for no answer is closed), bytes read ahead, bodies, and a budget of 32 MiB for heads, which are counted when they are parsed, before anything is kept of them. Beyond it a request is refused (503, not run). Bodies of egretmill-entry count in the same budget. Headers are dropped with their request.

--- a/egretmill/agent/operations.py
+++ b/egretmill/agent/operations.py
@@ -16,6 +16,7 @@
 from egretmill.document.promotion import MAX_DOCUMENT_BYTES, Promoter
 from egretmill.errors import ErrorKind, Failure
 from egretmill.events import CATALOGUE
+from egretmill.bounded_server import BoundedServer, ServerLimits
 from egretmill.listening import listen
 from egretmill.logs import log_event
 from egretmill.settings import HostSettings
@@ -43,7 +44,12 @@
 TOML_TYPE = 'application/toml'
 # Larger bodies are cut off while they arrive. Bodies between the limit of a
 # document and this one get an answer that names the former.
-MAX_BODY_BYTES = 4 * MAX_DOCUMENT_BYTES
+LIMITS = ServerLimits(
+    connections=16,
+    header_bytes=65536,
+    body_bytes=4 * MAX_DOCUMENT_BYTES,
+    body_s=30.0,
+)
 ATTEMPT_PATTERN = re.compile('[A-Za-z0-9-]{8,64}')
 OPERATOR_PATTERN = re.compile('[A-Za-z0-9._-]{1,64}')
 VERSION_PATTERN = re.compile('[0-9]{1,15}')
@@ -355,6 +361,6 @@
     :raises OSError: the address or port cannot be bound.
     """
     application = make_application(view, settings.operations_token_digest)
-    server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
+    server = BoundedServer(application, LIMITS)
     listen(server, settings.ports.operations, settings.address)
     return server
--- a/egretmill/entry/body.py
+++ b/egretmill/entry/body.py
@@ -5,13 +5,37 @@
 
 import xxhash
 
-__all__ = ('BUFFERED_BODY_BYTES', 'Body', 'BufferedBody', 'StreamedBody')
+__all__ = (
+    'Body',
+    'BufferedBody',
+    'StreamedBody',
+    'is_buffered',
+    'memory_of_body',
+)
 
 # Bodies up to this size are read before the request is admitted, so that
 # an attempt that reached no upstream can be repeated on another one.
 BUFFERED_BODY_BYTES = 65536
 # With tornado's chunks of 64 KiB this bounds an upload to 256 KiB of memory.
 MAX_QUEUED_CHUNKS = 4
+# Memory of an upload: its queue, and the buffer of its connection.
+STREAM_BYTES = 393216
+
+
+def memory_of_body(size: int | None) -> int:
+    """Return the memory that a body of a size takes, at most.
+
+    :param size: its length, ``None`` if it is not known.
+    """
+    if is_buffered(size):
+        # The received bytes are copied once.
+        return 2 * (size or 0)
+    return STREAM_BYTES
+
+
+def is_buffered(size: int | None) -> bool:
+    """Return whether a body is read before the request is admitted."""
+    return size is not None and size <= BUFFERED_BODY_BYTES
 
 
 class Body:
--- a/egretmill/entry/handler.py
+++ b/egretmill/entry/handler.py
@@ -9,10 +9,11 @@
 
 from egretmill import events
 from egretmill.entry.body import (
-    BUFFERED_BODY_BYTES,
     Body,
     BufferedBody,
     StreamedBody,
+    is_buffered,
+    memory_of_body,
 )
 from egretmill.entry.refusal import Refusal
 from egretmill.entry.request import CallerRequest
@@ -35,6 +36,8 @@
     def initialize(self, service: EntryService) -> None:
         """Store the shared service and create the sink of this request."""
         self.service = service
+        #: What is counted of the request in the service's memory.
+        self.counted_bytes = 0
         self.sink = CallerSink(self, uuid.uuid4().hex)
 
     def prepare(self) -> None:
@@ -64,13 +67,19 @@
             loop = asyncio.get_running_loop()
             loop.call_later(FLUSH_POLL_S, self.mark_ended)
             return
-        self.service.open_requests.discard(self)
+        self.close_request()
         if self.service.state.leaving:
             self.sink.abort_connection()
 
     def on_connection_close(self) -> None:
         """Unregister the request of a caller that has disconnected."""
+        self.close_request()
+
+    def close_request(self) -> None:
+        """Unregister the request, and what is kept of it."""
         self.service.open_requests.discard(self)
+        self.service.caller_memory.release(self.counted_bytes)
+        self.counted_bytes = 0
 
     def compute_etag(self) -> None:
         """Add no ETag; answers carry that of the upstream, if any."""
@@ -125,6 +134,11 @@
         if isinstance(parsed, Err):
             self.refuse(Refusal.before_sending(parsed.err_value))
             return
+        if not self.count_memory(parsed.ok_value):
+            detail = 'callers keep too much memory'
+            failure = Failure(ErrorKind.OVERLOADED, detail)
+            self.refuse(Refusal.before_sending(failure))
+            return
         self.caller = parsed.ok_value
         self.sink.request_id = self.caller.request_id
         self.limit_body_size(self.caller)
@@ -136,6 +150,14 @@
             self.handle_body_timeout,
         )
 
+    def count_memory(self, caller: CallerRequest) -> bool:
+        """Count the body of the request; return whether it is allowed."""
+        kept_bytes = memory_of_body(caller.body_size)
+        if not self.service.caller_memory.try_add(kept_bytes):
+            return False
+        self.counted_bytes = kept_bytes
+        return True
+
     def limit_body_size(self, caller: CallerRequest) -> None:
         """Set tornado's body limit to that of the route."""
         connection = self.request.connection
@@ -256,8 +278,3 @@
             return
         self.set_header('Cache-Control', 'no-store')
         self.finish({'ticket': issued.ok_value})
-
-
-def is_buffered(size: int | None) -> bool:
-    """Return whether a body is read before the request is admitted."""
-    return size is not None and size <= BUFFERED_BODY_BYTES
--- a/egretmill/entry/program.py
+++ b/egretmill/entry/program.py
@@ -16,6 +16,7 @@
 from egretmill.entry.state import EntryState
 from egretmill.errors import ErrorKind, Failure
 from egretmill.host_link import AgentLink
+from egretmill.bounded_server import BoundedServer, ServerLimits
 from egretmill.listening import listen
 from egretmill.logs import log_event
 from egretmill.membership.incarnation import next_incarnation
@@ -26,11 +27,16 @@
 
 __all__ = ('EntryProgram', 'serve')
 
-# Above the 16 KiB limit for callers, so that most oversized heads still
-# get an answer instead of a closed connection.
-MAX_HEADER_BYTES = 65536
-IDLE_CONNECTION_TIMEOUT_S = 75.0
-CHUNK_BYTES = 65536
+#: The size of a head is above the 16 KiB limit for callers, so that most
+#: oversized heads still get an answer instead of a closed connection. Bodies
+#: are limited by their route, and their time by its time limit.
+LIMITS = ServerLimits(
+    connections=2048,
+    header_bytes=65536,
+    body_bytes=65536,
+    body_s=None,
+    idle_s=75.0,
+)
 
 
 class EntryProgram:
@@ -79,11 +85,11 @@
             self.metrics,
         )
         self.peer_server.start()
-        self.http = HTTPServer(
+        self.http = BoundedServer(
             self.make_application(),
-            max_header_size=MAX_HEADER_BYTES,
-            chunk_size=CHUNK_BYTES,
-            idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
+            LIMITS,
+            self.service.caller_memory,
+            self.service.busy_streams,
         )
         listen(self.http, ports.entry, address)
         self.background_tasks = [
--- a/egretmill/entry/request.py
+++ b/egretmill/entry/request.py
@@ -70,17 +70,18 @@
     limit_ms = time_limit_ms(request.headers, route)
     if isinstance(limit_ms, Err):
         return limit_ms
+    idempotency_key = request.headers.get(header_names.IDEMPOTENCY_KEY)
     return Ok(
         CallerRequest(
             request_id=request_id_of(request.headers),
             method=request.method or '',
             uri=request.uri or '/',
-            headers=request.headers,
+            headers=kept_headers(request.headers, idempotency_key),
             route=route,
             account=account.ok_value,
             deadline_at=now + limit_ms.ok_value / MILLISECONDS,
             body_size=size.ok_value,
-            idempotency_key=request.headers.get(header_names.IDEMPOTENCY_KEY),
+            idempotency_key=idempotency_key,
         ),
     )
 
@@ -90,6 +91,17 @@
     return sum(len(name) + len(text) + 4 for name, text in headers.get_all())
 
 
+def kept_headers(
+    headers: HTTPHeaders, idempotency_key: str | None
+) -> HTTPHeaders:
+    """Return headers that last as long as the request is served.
+
+    One with an idempotency key is served on when its caller has disconnected;
+    the server drops its headers then.
+    """
+    return headers if idempotency_key is None else headers.copy()
+
+
 def authenticate(
     route: Route,
     headers: HTTPHeaders,
--- a/egretmill/entry/service.py
+++ b/egretmill/entry/service.py
@@ -4,7 +4,9 @@
 import random
 
 from result import Err, Ok, Result
+from tornado import web
 from tornado.httputil import HTTPServerRequest
+from tornado.iostream import IOStream
 
 from egretmill import events
 from egretmill.entry import headers as header_names
@@ -18,6 +20,7 @@
 from egretmill.entry.sink import CallerSink
 from egretmill.entry.state import EntryState
 from egretmill.errors import ErrorKind, Failure
+from egretmill.http1 import BufferBudget
 from egretmill.ledger.claims import row_key
 from egretmill.ledger.tickets import Ticket, TicketRegistry
 from egretmill.logs import log_event
@@ -26,6 +29,9 @@
 
 __all__ = ('EntryService',)
 
+#: Memory for requests of all callers that are not answered yet.
+CALLER_MEMORY_BYTES = 32 << 20
+
 
 class EntryService:
     """Parses, registers, serves and logs the requests of one program."""
@@ -39,7 +45,8 @@
         )
         self.rng = random.SystemRandom()
         #: Handlers of requests whose answer is not yet sent in full.
-        self.open_requests: set[object] = set()
+        self.open_requests: set[web.RequestHandler] = set()
+        self.caller_memory = BufferBudget(CALLER_MEMORY_BYTES)
 
     @property
     def metrics(self) -> Metrics:
@@ -170,6 +177,12 @@
             detail=refusal.failure.detail,
         )
 
+    def busy_streams(self) -> set[IOStream]:
+        """Return the connections whose requests are not answered."""
+        return {
+            handler.request.connection.stream for handler in self.open_requests
+        }
+
     async def wait_until_drained(self) -> None:
         """Wait until no request is open and no background task runs.
 
--- a/egretmill/steer/program.py
+++ b/egretmill/steer/program.py
@@ -4,9 +4,9 @@
 import sys
 import time
 
-from tornado.httpserver import HTTPServer
 
 from egretmill import events
+from egretmill.bounded_server import BoundedServer, ServerLimits
 from egretmill.listening import listen
 from egretmill.logs import log_event
 from egretmill.membership.incarnation import next_incarnation
@@ -20,19 +20,16 @@
 __all__ = ('PROGRAM', 'serve')
 
 PROGRAM = 'egretmill-steer'
-MAX_READ_HEADER_BYTES = 65536
-MAX_BODY_BYTES = 65536
+LIMITS = ServerLimits(
+    connections=1024, header_bytes=65536, body_bytes=4096, body_s=5.0
+)
 
 
 async def serve(settings: HostSettings, signals: StopSignals) -> int:
     """Answer look-ups until a stop signal and return the exit status."""
     metrics = Metrics.from_settings(settings.metrics, 'steer')
     state = SteerState(metrics)
-    server = HTTPServer(
-        make_application(state, metrics),
-        max_header_size=MAX_READ_HEADER_BYTES,
-        max_body_size=MAX_BODY_BYTES,
-    )
+    server = BoundedServer(make_application(state, metrics), LIMITS)
     try:
         listen(server, settings.ports.steer, settings.address)
     except OSError as error:
@@ -59,7 +56,7 @@
     return EXIT_OK
 
 
-async def drain(server: HTTPServer, settings: HostSettings) -> None:
+async def drain(server: BoundedServer, settings: HostSettings) -> None:
     """Keep answering for the drain period, then close all connections."""
     await asyncio.sleep(settings.timing.drain_s)
     server.stop()
