--- a/egretmill/entry/upstream_call.py
+++ b/egretmill/entry/upstream_call.py
@@ -36,7 +36,9 @@
 MAX_ANSWER_HEADER_BYTES = 65536
 STREAM_BUFFER_BYTES = 1048576
 UNLIMITED_BYTES = 1 << 50
+MIN_STATUS = 100
 MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 FIRST_ERROR_STATUS = 400
 
 
@@ -218,6 +220,10 @@
             self.abort_reason = 'too many headers'
             self.abort()
             return
+        if not MIN_STATUS <= start_line.code <= MAX_STATUS:
+            self.abort_reason = f'status {start_line.code}'
+            self.abort()
+            return
         if start_line.code < MIN_FINAL_STATUS:
             return
         self.extend_timeout()
--- a/egretmill/http1/response_reader.py
+++ b/egretmill/http1/response_reader.py
@@ -20,7 +20,9 @@
 HEAD_LIMIT_BYTES = 64 << 10
 #: Headers of one response, its trailers included.
 MAX_HEADERS = 256
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -36,8 +38,8 @@
         raise NotImplementedError
 
 
-class ResponseLimitError(Exception):
-    """A response exceeds a limit."""
+class RejectedResponseError(Exception):
+    """A response is no valid answer, or exceeds a limit."""
 
 
 class ResponseReader:
@@ -123,19 +125,24 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         """Append a header, up to the limit; drop a trailer.
 
-        :raises ResponseLimitError: when there are too many.
+        :raises RejectedResponseError: when there are too many.
         """
         self.header_count += 1
         if self.header_count > MAX_HEADERS:
-            raise ResponseLimitError('too many headers')
+            raise RejectedResponseError('too many headers')
         if not self.is_head_complete:
             self.header_bytes += len(name) + len(text) + HEADER_OVERHEAD_BYTES
             self.response.add_header(name, text)
 
     def on_headers_complete(self) -> None:
-        """Determine how the end of the body is recognized."""
+        """Determine how the end of the body is recognized.
+
+        :raises RejectedResponseError: when the status is none of HTTP.
+        """
         self.is_head_complete = True
         self.response.status = self.parser.get_status_code()
+        if not FIRST_STATUS <= self.response.status <= LAST_STATUS:
+            raise RejectedResponseError(f'status {self.response.status}')
         if self.response.status < FIRST_FINAL_STATUS:
             return
         fields = self.response.fields
@@ -156,12 +163,12 @@
     def on_body(self, chunk: bytes) -> None:
         """Append a chunk of the body, up to the limit.
 
-        :raises ResponseLimitError: when the body is too long.
+        :raises RejectedResponseError: when the body is too long.
         """
         self.framing_bytes -= len(chunk)
         self.unbroken_framing_bytes = 0
         if len(self.body) + len(chunk) > RESPONSE_LIMIT_BYTES:
-            raise ResponseLimitError('response too long')
+            raise RejectedResponseError('response too long')
         self.body += chunk
 
     def on_message_complete(self) -> None:
--- a/tests/entry/test_endless_response.py
+++ b/tests/entry/test_endless_response.py
@@ -59,6 +59,24 @@
     assert peak_bytes < CALLS_AT_ONCE * MEMORY_PER_CALL_BYTES
 
 
+@pytest.mark.parametrize('status', ['000', '099', '600'])
+async def test_status_that_http_does_not_have_fails_the_call(status):
+    """Guards against a request that ends without any answer."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 %b X\r\n' % status.encode())
+        writer.write(b'Content-Length: 2\r\n\r\nno')
+        await reader.read()
+
+    async with run_upstream(serve) as port:
+        target = UpstreamTarget(ADDRESS, port, 'GET', '/')
+        call = UpstreamCall(target, DiscardingSink())
+        until = asyncio.get_running_loop().time() + 3
+        end = await call.run(HTTPHeaders(), BufferedBody(b''), 0.5, until)
+    assert end.kind is ErrorKind.UPSTREAM_FAILED
+
+
 async def test_interim_answers_without_end_fail_the_call():
     """Guards against interim answers that are read until the deadline."""
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -122,6 +122,16 @@
     assert isinstance(outcome, Err)
 
 
+@pytest.mark.parametrize('status', ['000', '001', '099', '600', '999'])
+async def test_status_that_http_does_not_have_fails_the_call(status):
+    """Guards against passing on an answer that no caller understands."""
+    response = encode_response(b'1').replace(b'200', status.encode(), 1)
+    (outcome,), connection = await call_scripted_upstream([response])
+    assert outcome.err_value.cause is FailureCause.MALFORMED
+    assert outcome.err_value.sent
+    assert not connection.is_usable
+
+
 async def test_duplicate_response_makes_the_connection_unusable():
     """Guards against matching the second response to the next call."""
     (outcome,), connection = await call_scripted_upstream(
