--- a/egretmill/http1/client.py
+++ b/egretmill/http1/client.py
@@ -155,11 +155,16 @@
         self.reset()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the call unless the close is the end of its response."""
+        """Fail the call unless the close is the end of its response.
+
+        An upstream that closes before it has the whole request resets the
+        connection; what came before may be a part of the response.
+        """
         super().connection_lost(exc)
         self.writable.set()
         self.closed.set_result(exc)
-        if self.reader is not None and exc is None:
+        is_written = self.writer is None or self.writer.is_done
+        if self.reader is not None and exc is None and is_written:
             self.reader.connection_closed()
         self._fail_call(FailureCause.CLOSED, str(exc or 'closed'))
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -132,6 +132,28 @@
     assert not connection.is_usable
 
 
+async def test_close_before_the_whole_request_does_not_end_a_response():
+    """Guards against a part of an early answer that looks whole.
+
+    The upstream closes while the body of the request still arrives here.
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart')
+        writer.close()
+
+    async with run_upstream(serve) as port:
+        connection = (await connect(ADDRESS, port, 1)).ok_value
+        call = make_call(method=b'POST')
+        call.body = Body()
+        call.body.feed(b'x' * 4096)
+        call.declared_length = b'1000000'
+        outcome = await connection.send(call)
+    assert outcome.err_value.cause is FailureCause.CLOSED
+    assert outcome.err_value.sent
+
+
 async def test_duplicate_response_makes_the_connection_unusable():
     """Guards against matching the second response to the next call."""
     (outcome,), connection = await call_scripted_upstream(
