Promise "not run" only for what cannot have been sent on (REFUSED)

When callers keep too much, the largest request that is still received is refused with 503, not run. The check that nothing of it had been sent asked whether its body could still be sent again. That holds for one more turn of the event loop after its head has gone to an upstream.

A body that can be forwarded, whole or by a full buffer, is taken for sent on now; its connection is reset, which promises nothing. Before that point the exchange only waits. The new test fails without the change: a full buffer was answered 503.

--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -272,10 +272,13 @@
 
 
 def _can_refuse(connection: ServerConnection, pending: PendingAnswer) -> bool:
-    """Return whether the request being received is the only one, and unsent."""
+    """Return whether the request being received is the only one, and unsent.
+
+    A body that can be forwarded may be on its way to an upstream.
+    """
     if len(connection.queue) > 1 or pending.response is not None:
         return False
-    return pending.body.replayable
+    return not pending.body.is_forwardable
 
 
 def _close_after(connection: ServerConnection, pending: PendingAnswer) -> None:
--- a/tests/http1/test_caller_limits.py
+++ b/tests/http1/test_caller_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from egretmill.http1 import CallerMemory, ConnectionLimits
-from egretmill.http1.body import JOINED_CHUNK_BYTES
+from egretmill.http1.body import BODY_BUFFER_BYTES, JOINED_CHUNK_BYTES
 from egretmill.http1.buffers import HEADER_OVERHEAD_BYTES
 from egretmill.http1.server import MAX_KEPT_BYTES
 from tests.http1.harness import (
@@ -178,6 +178,28 @@
     assert recorder.memory.used_bytes == 0
 
 
+async def test_request_that_may_have_been_sent_on_is_not_refused():
+    """Guards against "not run" for an upload that an upstream works on."""
+    recorder = Recorder(memory=CallerMemory(BODY_BUFFER_BYTES * 5 // 4))
+    upload = b'POST /u HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n'
+    async with (
+        serve_connection(recorder) as (reader, writer),
+        serve_connection(recorder) as (_, other),
+    ):
+        writer.write(upload + b'x' * BODY_BUFFER_BYTES)
+        await wait_until(
+            lambda: (
+                recorder.requests and recorder.requests[0].body.is_forwardable
+            )
+        )
+        other.write(upload + b'x' * (BODY_BUFFER_BYTES // 2))
+        with contextlib.suppress(ConnectionError):
+            assert not await reader.read()
+        await wait_until(lambda: len(recorder.connections) == 1)
+        assert recorder.disconnected == [b'/u']
+        assert not recorder.errors
+
+
 async def test_headers_count_by_the_memory_of_their_objects():
     """Guards against short headers that take far more than their bytes."""
     recorder = Recorder()
