Count received bytes that wait for room

Up to 64 KiB that a connection had received while it had no room for further requests counted in the memory of callers only once they were parsed.

--- a/egretmill/http1/receiving.py
+++ b/egretmill/http1/receiving.py
@@ -90,7 +90,7 @@
             return
         if self.closing:
             self.unparsed = b''
-            self.handler.memory.record(self, self.kept_bytes)
+        self.handler.memory.record(self, self.kept_bytes)
         can_read = self.closing or (not self.unparsed and self.has_room)
         self.set_reading(enabled=can_read)
 
