Answer 500 when a page fails

An exception in a page was reported as an unreadable request, with 400. It is logged and answered 500 now, as before the pages left tornado's handlers. The new test fails without the change.

--- a/egretmill/host/pages.py
+++ b/egretmill/host/pages.py
@@ -24,6 +24,7 @@
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_METHOD_NOT_ALLOWED = 405
+HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
 READING_METHODS = frozenset((b'GET', b'HEAD'))
 #: Callers that are closed to accept another one.
@@ -116,7 +117,16 @@
 
     def start_request(self, pending: PendingAnswer) -> None:
         """Answer a request."""
-        pending.answer(self._answer(pending))
+        try:
+            response = self._answer(pending)
+        except Exception as error:  # noqa: BLE001
+            log_event(
+                events.CATALOGUE.HANDLER_FAILED,
+                part=str(self.pages.endpoint),
+                error=repr(error),
+            )
+            response = Response(HTTP_INTERNAL_ERROR)
+        pending.answer(response)
         self.connections.mark_idle(pending.connection)
 
     def _answer(self, pending: PendingAnswer) -> Response:
--- a/tests/host/test_pages.py
+++ b/tests/host/test_pages.py
@@ -21,6 +21,11 @@
     return Response(200, body=repr(sorted(request.arguments.items())).encode())
 
 
+def fail(request):
+    """Raise an unexpected exception."""
+    raise RuntimeError
+
+
 @pytest.fixture
 async def handler():
     """Return the handler of pages that are served."""
@@ -74,6 +79,13 @@
     assert bool(body) == (status == 200)
 
 
+async def test_page_that_fails_is_answered(handler):
+    """Guards against a caller that is told that its request is unreadable."""
+    handler.pages.by_path['/broken'] = fail
+    head, _ = await ask(handler, GET.replace(b'/page', b'/broken') + b'\r\n')
+    assert head.startswith(b'HTTP/1.1 500')
+
+
 async def test_body_is_dropped_after_the_answer(handler):
     """Guards against bodies that are kept although no page reads one."""
     async with connected(handler) as (reader, writer):
