Close no connection to steer or agent whose request is being answered

To accept another caller, a full server closes the connection that has been open for longest and waits for no answer. Only egretmill-entry told it which those are, so a promotion could have been cut off by 16 newer connections to the operations port. The server knows from the heads that it counts: a connection has a request from its head to its answer. The test now uses requests whose bodies stall in place of a list of streams.

--- a/egretmill/bounded_server.py
+++ b/egretmill/bounded_server.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import resource
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable
 from typing import Any
 
 from tornado import httputil
@@ -64,16 +64,11 @@
     )
 
 
-def no_streams() -> Collection[IOStream]:
-    """Return that no connection has an unanswered request."""
-    return ()
-
-
 @dataclasses.dataclass(eq=False, slots=True)
 class CallerConnection:
     """An open connection and what is counted for it.
 
-    :param headers: those of its latest request.
+    :param headers: those of its unanswered request, if there is one.
     """
 
     counted_bytes: int = 0
@@ -93,12 +88,10 @@
         application: Any,
         limits: ServerLimits,
         budget: BufferBudget | None = None,
-        busy_streams: Callable[[], Collection[IOStream]] = no_streams,
     ) -> None:
         """Serve an application.
 
         :param budget: memory of all requests.
-        :param busy_streams: returns the connections with unanswered requests.
         """
         super().initialize(
             application,
@@ -111,7 +104,6 @@
         )
         self.limits = limits
         self.budget = budget or BufferBudget(HEAD_MEMORY_BYTES)
-        self.busy_streams = busy_streams
         #: Open connections, the oldest first.
         self.callers: dict[IOStream, CallerConnection] = {}
 
@@ -148,7 +140,7 @@
         return True
 
     def release(self, stream: IOStream) -> None:
-        """Drop what is kept of the latest request of a connection.
+        """Drop what is kept of the request of a connection.
 
         The objects of its connection refer to each other, so that its headers
         would stay until the next garbage collection.
@@ -164,10 +156,8 @@
         """Close the oldest unused connection if there are too many."""
         if len(self.callers) < self.limits.open_connections:
             return True
-        busy = self.busy_streams()
-        for stream in self.callers:
-            if stream not in busy:
-                self.release(stream)
+        for stream, caller in self.callers.items():
+            if caller.headers is None:
                 del self.callers[stream]
                 stream.close()
                 return True
--- a/egretmill/entry/program.py
+++ b/egretmill/entry/program.py
@@ -89,7 +89,6 @@
             self.make_application(),
             LIMITS,
             self.service.caller_memory,
-            self.service.busy_streams,
         )
         listen(self.http, ports.entry, address)
         self.background_tasks = [
--- a/egretmill/entry/service.py
+++ b/egretmill/entry/service.py
@@ -4,9 +4,7 @@
 import random
 
 from result import Err, Ok, Result
-from tornado import web
 from tornado.httputil import HTTPServerRequest
-from tornado.iostream import IOStream
 
 from egretmill import events
 from egretmill.entry import headers as header_names
@@ -45,7 +43,7 @@
         )
         self.rng = random.SystemRandom()
         #: Handlers of requests whose answer is not yet sent in full.
-        self.open_requests: set[web.RequestHandler] = set()
+        self.open_requests: set[object] = set()
         self.caller_memory = BufferBudget(CALLER_MEMORY_BYTES)
 
     @property
@@ -177,12 +175,6 @@
             detail=refusal.failure.detail,
         )
 
-    def busy_streams(self) -> set[IOStream]:
-        """Return the connections whose requests are not answered."""
-        return {
-            handler.request.connection.stream for handler in self.open_requests
-        }
-
     async def wait_until_drained(self) -> None:
         """Wait until no request is open and no background task runs.
 
--- a/tests/test_bounded_server.py
+++ b/tests/test_bounded_server.py
@@ -11,6 +11,7 @@
 
 ADDRESS = '127.0.0.1'
 MAX_CALLERS = 3
+POST = b'POST / HTTP/1.1\r\nHost: h\r\n'
 LIMITS = ServerLimits(
     MAX_CALLERS, header_bytes=8192, body_bytes=100, body_s=0.1
 )
@@ -43,12 +44,15 @@
 
 async def test_caller_is_refused_if_all_others_wait_for_answers(bounded):
     """Guards against requests that are cut off for another caller."""
-    bounded.busy_streams = lambda: set(bounded.callers)
+    bounded.conn_params.body_timeout = None
     held = [
         await asyncio.open_connection(*bounded.address)
         for _ in range(MAX_CALLERS)
     ]
-    await asyncio.sleep(0.05)
+    for _, holder in held:
+        holder.write(POST + b'Content-Length: 50\r\n\r\n')
+    while any(caller.headers is None for caller in bounded.callers.values()):
+        await asyncio.sleep(0.01)
     reader, writer = await asyncio.open_connection(*bounded.address)
     assert not await reader.read()
     writer.transport.abort()
@@ -69,7 +73,7 @@
 async def test_request_beyond_the_limits_ends_its_connection(bounded, start):
     """Guards against requests that are kept without an end."""
     reader, writer = await asyncio.open_connection(*bounded.address)
-    writer.write(b'POST / HTTP/1.1\r\nHost: h\r\n' + start)
+    writer.write(POST + start)
     async with asyncio.timeout(5):
         await reader.read()
     writer.transport.abort()
