--- a/egretmill/http1/buffers.py
+++ b/egretmill/http1/buffers.py
@@ -25,7 +25,7 @@
 
 @dataclasses.dataclass(slots=True)
 class BufferBudget:
-    """Limits the response bytes that all connections buffer together."""
+    """Limits the bytes that all connections of a kind buffer together."""
 
     limit_bytes: int = BUFFER_LIMIT_BYTES
     used_bytes: int = 0
