Add tests of the host's other listeners, of floods and of unread bytes

These cover what was open after them: the ports between programs (entry and agent), heartbeats of hosts that do not exist, short pipelined requests without end on each address of the host, and bytes that the kernel holds for connections that are not read. For the last ones the machine is a third of the users' smallest.

Crowd and bounds were fixed before the product changed.

--- a/tests/fleet/test_misbehaving_clients.py
+++ b/tests/fleet/test_misbehaving_clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import resource
+import struct
 
 import pytest
 
@@ -53,10 +54,45 @@
 }
 
 
+#: Start of a connection between programs: protocol version and role.
+PEER_HELLO = b'\x00SP\x00\x00\x30\x00\x00'
+PEER_CLIENTS = 60
+#: The longest message that was accepted when these tests were written.
+PEER_MESSAGE_BYTES = 8 * MIB
+
+
+def announce_message(size):
+    """Return the start of a message between programs."""
+    return PEER_HELLO + struct.pack('>Q', size)
+
+
+PEER_BEHAVIOURS = {
+    'message-without-its-end': Behaviour(
+        announce_message(PEER_MESSAGE_BYTES),
+        b'x' * PIECE_BYTES,
+        PEER_MESSAGE_BYTES - 1,
+    ),
+    'short-message-without-its-end': Behaviour(
+        announce_message(64 << 10), b'x' * PIECE_BYTES, 64 << 10
+    ),
+    'hello-without-end': Behaviour(b'', b'x' * PIECE_BYTES, ENDLESS),
+    'empty-messages': Behaviour(
+        PEER_HELLO, struct.pack('>Q', 0) * 2000, ENDLESS
+    ),
+}
+#: Ports between programs, by program.
+PEER_PORTS = {'entry': 'entry_peer_port', 'agent': 'agent_port'}
+
+
 @pytest.fixture
 def entry_pid(fleet):
     """Return the process of the first host's entry program."""
-    return fleet.fleet.processes[f'{fleet.hosts[0].name}/entry'].pid
+    return find_pid(fleet, 'entry')
+
+
+def find_pid(fleet, program):
+    """Return the process of a program of the first host."""
+    return fleet.fleet.processes[f'{fleet.hosts[0].name}/{program}'].pid
 
 
 async def wait_for_answer(fleet):
@@ -68,8 +104,8 @@
 
 def check_bounds(fleet, pid):
     """Check that the process lives, within its memory and descriptors."""
-    process = fleet.fleet.processes[f'{fleet.hosts[0].name}/entry']
-    assert process.poll() is None
+    processes = fleet.fleet.processes.values()
+    assert next(row for row in processes if row.pid == pid).poll() is None
     assert peak_memory_bytes(pid) < MEMORY_MB * MIB
     assert len(os.listdir(f'/proc/{pid}/fd')) <= DESCRIPTORS
 
@@ -105,3 +141,34 @@
         await asyncio.sleep(HOLD_S)
         await wait_for_answer(fleet)
         check_bounds(fleet, entry_pid)
+
+
+@pytest.mark.parametrize('program', PEER_PORTS)
+@pytest.mark.parametrize('name', PEER_BEHAVIOURS)
+async def test_clients_of_a_peer_port_leave_its_program_within_its_memory(
+    fleet, program, name
+):
+    """Guards against clients that end a program by way of its peer port."""
+    pid = find_pid(fleet, program)
+    host = fleet.hosts[0]
+    address = (host.address, getattr(host, PEER_PORTS[program]))
+    await keep_crowd(address, PEER_BEHAVIOURS[name], PEER_CLIENTS)
+    check_bounds(fleet, pid)
+    await wait_for_answer(fleet)
+    check_bounds(fleet, pid)
+
+
+@pytest.mark.parametrize('program', PEER_PORTS)
+@pytest.mark.parametrize('start', [b'', PEER_HELLO], ids=['idle', 'hello'])
+async def test_connections_to_a_peer_port_keep_no_caller_out(
+    fleet, program, start
+):
+    """Guards against clients that take up all descriptors of a program."""
+    pid = find_pid(fleet, program)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    host = fleet.hosts[0]
+    address = (host.address, getattr(host, PEER_PORTS[program]))
+    async with trickling(address, start, b'', HOLDERS):
+        await asyncio.sleep(HOLD_S)
+        await wait_for_answer(fleet)
+        check_bounds(fleet, pid)
--- a/tests/misbehaving.py
+++ b/tests/misbehaving.py
@@ -13,6 +13,8 @@
 SEND_LIMIT_S = 20.0
 PIECE_BYTES = 16 * KIB
 TRICKLE_INTERVAL_S = 0.5
+#: Pause of a client whose connection was closed, in seconds.
+RECONNECT_S = 0.05
 #: Bytes of a behaviour that goes on until the connection is closed.
 ENDLESS = 4 * MIB
 
@@ -36,6 +38,24 @@
     return lines[: lines.rindex(b'\n', 0, size) + 1]
 
 
+def unread_bytes(port):
+    """Return what the kernel has received on a port and nobody has read."""
+    total = 0
+    for line in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        fields = line.split()
+        local_port = int(fields[1].partition(':')[2], 16)
+        is_listening = fields[3] == '0A'
+        if local_port == port and not is_listening:
+            total += int(fields[4].partition(':')[2], 16)
+    return total
+
+
+def memory_bytes(pid):
+    """Return the memory of a process now."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    return int(status.partition('VmRSS:')[2].split()[0]) << 10
+
+
 def peak_memory_bytes(pid):
     """Return the peak memory of a process."""
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
@@ -75,6 +95,53 @@
             writer.transport.abort()
 
 
+async def flood(address, content):
+    """Send without end and drop the answers, again after each close."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                await asyncio.gather(
+                    send_all(reader, writer, content), drop_answers(reader)
+                )
+            finally:
+                writer.transport.abort()
+        await asyncio.sleep(RECONNECT_S)
+
+
+async def send_all(reader, writer, content):
+    """Send without end, until the connection is closed."""
+    while not reader.at_eof():
+        writer.write(content)
+        await writer.drain()
+        # Draining does not wait while the program reads all.
+        await asyncio.sleep(0)
+
+
+async def drop_answers(reader):
+    """Read until the connection is closed."""
+    while await reader.read(MIB):
+        await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def keep_tasks(tasks):
+    """Keep clients at work."""
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def flooding(address, content, clients):
+    """Keep clients connected that send without end."""
+    return keep_tasks(
+        [asyncio.create_task(flood(address, content)) for _ in range(clients)]
+    )
+
+
 async def trickle(address, start, piece):
     """Connect and send a piece now and then, again after each close."""
     while True:
@@ -96,16 +163,11 @@
         await writer.drain()
 
 
-@contextlib.asynccontextmanager
-async def trickling(address, start, piece, clients):
+def trickling(address, start, piece, clients):
     """Keep clients connected that send slowly."""
-    tasks = [
-        asyncio.create_task(trickle(address, start, piece))
-        for _ in range(clients)
-    ]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    return keep_tasks(
+        [
+            asyncio.create_task(trickle(address, start, piece))
+            for _ in range(clients)
+        ]
+    )
--- a/tests/platform/test_misbehaving_clients.py
+++ b/tests/platform/test_misbehaving_clients.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
+from egretmill.peers import Heartbeat, encode_datagram
 from tests.misbehaving import (
     ENDLESS,
     HOLD_S,
@@ -16,9 +18,12 @@
     MIB,
     PIECE_BYTES,
     Behaviour,
+    flooding,
     keep_crowd,
+    memory_bytes,
     short_headers,
     trickling,
+    unread_bytes,
 )
 from tests.platform.test_crowded_host import DESCRIPTORS, probe
 from tests.platform.test_endless_upstream import EndlessEnvironment
@@ -85,6 +90,41 @@
 )
 
 
+#: Short requests, as many as fit into what is received at once.
+PIPELINED_PAGES = {
+    'entry': b'GET / HTTP/1.1\r\n\r\n' * 3500,
+    'readiness': b'GET /egretmill/readiness HTTP/1.1\r\n\r\n' * 1500,
+    'directory': (
+        b'GET /egretmill/resolve?Name=h&Region=west&Zone=west-a HTTP/1.1\r\n'
+        b'\r\n'
+    )
+    * 1000,
+    'metrics': b'GET /metrics HTTP/1.1\r\n\r\n' * 2000,
+    'peers': b'GET / HTTP/1.1\r\n\r\n' * 3500,
+}
+FLOODING_CLIENTS = 60
+#: Of a machine with 300 MB and 4,100 descriptors, the third.
+DESCRIPTORS_OF_A_THIRD = 1366
+#: Fewer than the host has connections for.
+UNREAD_CLIENTS = 600
+UNREAD_BEHAVIOURS = {
+    'behind-unread-answers': Behaviour(
+        (GET + b'\r\n') * 16, b'x' * PIECE_BYTES, MIB
+    ),
+    'behind-two-byte-chunks': Behaviour(
+        CHUNKED, b'2\r\nab\r\n' * 2000, 2 * MIB
+    ),
+}
+SAMPLE_INTERVAL_S = 0.1
+#: Hosts that do not exist, and those of them that report on many accounts.
+FORGED_HOSTS = 20000
+FORGED_LONG_HOSTS = 1000
+FORGED_ACCOUNTS = {f'{number:x}': (0.5, 0.1) for number in range(2400)}
+#: Datagrams that are sent before a pause, so that few of them are lost.
+FORGED_AT_ONCE = 4
+FORGED_PAUSE_S = 0.002
+
+
 class SmallMachine(EndlessEnvironment):
     """A host with little memory and few descriptors.
 
@@ -134,15 +174,70 @@
     assert environment.count_descriptors() <= DESCRIPTORS
 
 
-@pytest.fixture
-async def machine(tmp_path):
-    """Return an environment whose host is ready."""
-    started = SmallMachine(tmp_path / 'host.toml')
+async def sample_memory(environment, samples):
+    """Add what the host keeps now, in its process and in the kernel."""
+    port = environment.ports['entry']
+    while True:
+        kept = memory_bytes(environment.process.pid) + unread_bytes(port)
+        samples.append(kept)
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+async def send_forged_heartbeats(environment, count, shortages):
+    """Send heartbeats of hosts that do not exist."""
+    address = (ADDRESS, environment.ports['peers'])
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for number in range(count):
+            heartbeat = Heartbeat(
+                host=f'forged-{number}',
+                incarnation=1,
+                entry=f'{ADDRESS}:1',
+                failure_domain='west-a',
+                region='west',
+                ready=True,
+                sent_at=1,
+                answers=0,
+                knowledge=1,
+                knowledge_age=0,
+                roster=1,
+                roster_age=0,
+                shortages=shortages,
+            )
+            sender.sendto(encode_datagram(heartbeat), address)
+            if not number % FORGED_AT_ONCE:
+                await asyncio.sleep(FORGED_PAUSE_S)
+
+
+@contextlib.asynccontextmanager
+async def start_machine(path, descriptors):
+    """Start a host and wait until it is ready."""
+    started = SmallMachine(path)
     async with contextlib.AsyncExitStack() as stack:
         await started.start_dependencies(stack)
+        settings = path.read_text()
+        path.write_text(
+            settings.replace(
+                f'descriptors = {DESCRIPTORS}', f'descriptors = {descriptors}'
+            )
+        )
         stack.push_async_callback(started.stop_host)
         await started.start_host()
-        started.limit_descriptors(DESCRIPTORS)
+        started.limit_descriptors(descriptors)
+        yield started
+
+
+@pytest.fixture
+async def machine(tmp_path):
+    """Return an environment whose host is ready."""
+    async with start_machine(tmp_path / 'host.toml', DESCRIPTORS) as started:
+        yield started
+
+
+@pytest.fixture
+async def wide_machine(tmp_path):
+    """Return an environment whose host has room for more connections."""
+    path = tmp_path / 'host.toml'
+    async with start_machine(path, DESCRIPTORS_OF_A_THIRD) as started:
         yield started
 
 
@@ -190,3 +285,46 @@
         await asyncio.sleep(HOLD_S)
         await wait_for_answer(machine)
         check_bounds(machine)
+
+
+@pytest.mark.parametrize('port', PIPELINED_PAGES)
+async def test_short_requests_without_end_leave_others_their_answers(
+    machine, port
+):
+    """Guards against a loop that is busy with the requests of a few."""
+    address = (ADDRESS, machine.ports[port])
+    async with flooding(address, PIPELINED_PAGES[port], FLOODING_CLIENTS):
+        await asyncio.sleep(HOLD_S)
+        await wait_for_answer(machine)
+        check_bounds(machine)
+
+
+@pytest.mark.parametrize('name', UNREAD_BEHAVIOURS)
+async def test_unread_bytes_leave_the_machine_within_its_memory(
+    wide_machine, name
+):
+    """Guards against bytes that the kernel holds for many connections."""
+    wide_machine.answer = ANSWER
+    address = (ADDRESS, wide_machine.ports['entry'])
+    samples = []
+    sampling = asyncio.create_task(sample_memory(wide_machine, samples))
+    await keep_crowd(address, UNREAD_BEHAVIOURS[name], UNREAD_CLIENTS)
+    sampling.cancel()
+    assert max(samples) < MEMORY_MB * MIB
+    await wait_for_answer(wide_machine)
+    assert wide_machine.process.returncode is None
+
+
+@pytest.mark.parametrize(
+    ('count', 'shortages'),
+    [(FORGED_HOSTS, {}), (FORGED_LONG_HOSTS, FORGED_ACCOUNTS)],
+    ids=['many', 'long'],
+)
+async def test_forged_heartbeats_leave_the_host_within_its_memory(
+    machine, count, shortages
+):
+    """Guards against a table of peers that any sender can fill."""
+    await send_forged_heartbeats(machine, count, shortages)
+    check_bounds(machine)
+    await wait_for_answer(machine)
+    check_bounds(machine)
