Parse pipelined requests one at a time

Callers saw time-outs and refusals while others sent short requests without end: a slice of 4 KiB can hold 200 requests, and held up the event loop for as long as it takes to answer them all.

Cause: the input is divided by bytes, but the work is in the requests, and the first slice of each connection is parsed at once. A slice ends behind the first empty line now, so it holds no second request: heads and chunked bodies end with an empty line, and bodies of known length have slices of their own.

The new tests fail on (20 requests in one slice).

--- a/egretmill/http1/receiving.py
+++ b/egretmill/http1/receiving.py
@@ -73,7 +73,7 @@
 
     def parse_slice(self) -> None:
         """Parse a small part of the received bytes."""
-        size = self.reader.slice_bytes(len(self.unparsed))
+        size = self.reader.slice_bytes(self.unparsed)
         received = self.unparsed[:size]
         self.unparsed = self.unparsed[size:]
         try:
--- a/egretmill/http1/request_reader.py
+++ b/egretmill/http1/request_reader.py
@@ -14,6 +14,7 @@
 #: Bytes that are parsed at once, except in a body of known length. Limits are
 #: checked in between: the parser itself accepts lines of any length.
 SLICE_BYTES = 4096
+EMPTY_LINE = b'\r\n\r\n'
 #: Bytes of a header line beside name and value: colon and line end.
 LINE_FRAMING_BYTES = 3
 
@@ -83,9 +84,18 @@
             return self.head.kept_bytes + line_bytes
         return line_bytes
 
-    def slice_bytes(self, available: int) -> int:
-        """Return how many of the available bytes to parse at once."""
-        return min(available, self.due_bytes or SLICE_BYTES)
+    def slice_bytes(self, received: bytes) -> int:
+        """Return how many of the received bytes to parse at once.
+
+        A slice ends behind the first empty line, so that it holds no further
+        request: heads and chunked bodies end with one.
+        """
+        if self.due_bytes:
+            return min(len(received), self.due_bytes)
+        end = received.find(EMPTY_LINE, 0, SLICE_BYTES)
+        if end >= 0:
+            return end + len(EMPTY_LINE)
+        return min(len(received), SLICE_BYTES)
 
     def close(self) -> None:
         """Drop what is kept; nothing can be parsed any more.
--- a/tests/http1/test_caller_limits.py
+++ b/tests/http1/test_caller_limits.py
@@ -5,11 +5,16 @@
 
 import pytest
 
-from egretmill.http1 import CallerMemory, ConnectionLimits
+from egretmill.http1 import (
+    CallerMemory,
+    ConnectionLimits,
+    ServerConnection,
+)
 from egretmill.http1.body import BODY_BUFFER_BYTES, JOINED_CHUNK_BYTES
 from egretmill.http1.buffers import HEADER_OVERHEAD_BYTES
 from egretmill.http1.server import MAX_KEPT_BYTES
 from tests.http1.harness import (
+    FakeTransport,
     Recorder,
     ok_response,
     read_response,
@@ -134,6 +139,31 @@
     assert not recorder.errors
 
 
+@pytest.mark.parametrize(
+    'request_bytes',
+    [
+        b'GET / HTTP/1.1\r\n\r\n',
+        CHUNKED + b'1\r\nx\r\n0\r\n\r\n',
+        CHUNKED + b'0\r\nX: 1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx',
+    ],
+    ids=['plain', 'chunked', 'trailers', 'length'],
+)
+async def test_requests_are_parsed_one_at_a_time(request_bytes):
+    """Guards against a slice of the input that is full of requests."""
+    recorder = Recorder()
+    connection = ServerConnection(recorder)
+    FakeTransport(connection)
+    connection.is_parsing = True
+    connection.unparsed = request_bytes * 20
+    while connection.unparsed:
+        before = len(recorder.requests)
+        connection.parse_slice()
+        assert len(recorder.requests) <= before + 1
+    assert len(recorder.requests) == 20
+    assert all(pending.body.complete for pending in recorder.requests)
+
+
 async def test_connection_takes_no_more_requests_than_it_has_room_for():
     """Guards against one caller whose pipelined requests fill the memory."""
     recorder = Recorder()
