--- a/tests/wire/test_peer.py
+++ b/tests/wire/test_peer.py
@@ -30,7 +30,9 @@
     port = free_port()
     server = Server(ADDRESS, port, acknowledge, Metrics(None))
     server.start()
-    with pynng.Req0(dial=f'tcp://{ADDRESS}:{port}') as client:
+    # A dial that waits would hold up the loop in which the server accepts.
+    url = f'tcp://{ADDRESS}:{port}'
+    with pynng.Req0(dial=url, block_on_dial=False) as client:
         await client.asend(b'\xc1 not msgpack')
         reply = messages.decode(await client.arecv())
     assert reply.kind == ErrorKind.MALFORMED_FRAME
