Bound the hosts and the memory that heartbeats can fill

A sender of forged heartbeats could end a host's process: 1,000 hosts that do not exist, each with reports on 2,400 accounts, took 520 MB.

Cause: a heartbeat adds its host to the table of peers, so that hosts find each other while the store is down, and a host outside the roster stayed until the roster changed. Nothing bounded their number, or the size of a heartbeat, of which each report takes ten times its bytes.

Now 1,024 hosts outside the roster are known at the same time, all heartbeats take 32 MiB, and those of hosts outside the roster half of it. Beyond that a heartbeat is refused; at the next interval the dead ones make room, with what they lent. Hosts of the roster are not counted in the number. The event heartbeats_refused tells.

The new tests of the table need the new limits and cannot run on the old code. Not bounded: what else an unauthenticated sender can claim.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -389,6 +389,14 @@
         logging.WARNING,
         'A peer has had other data for long; the whole table is read again.',
     )
+    HEARTBEATS_REFUSED = Event(
+        613,
+        'heartbeats_refused',
+        logging.WARNING,
+        'There was no room for heartbeats, most of them from hosts that the '
+        'roster does not name; gives their number since the last line, and how '
+        'many dead hosts were removed.',
+    )
     DUTY_CHANGED = Event(
         609,
         'duty_changed',
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -117,6 +117,7 @@
         }
         spare = self.state.accounts.lendable_fractions(now)
         self.advertised = (shortages, spare)
+        _remove_dead_peers(self.state, now)
         for peer in self.state.peers.peers.values():
             self.send_heartbeat(peer, shortages, spare, now)
         self.update_live_peers(now)
@@ -369,6 +370,20 @@
         self.state.metrics.share.set(self.state.share.fraction(now))
 
 
+def _remove_dead_peers(state: HostState, now: float) -> None:
+    """Remove dead hosts outside the roster if others found no room."""
+    refused = state.peers.refused
+    if not refused:
+        return
+    removed = state.peers.make_room(now)
+    state.loans.forget_lenders(removed)
+    log_event(
+        events.CATALOGUE.HEARTBEATS_REFUSED,
+        refused=refused,
+        removed=len(removed),
+    )
+
+
 def _activate_share(state: HostState, now: float) -> None:
     """Activate the own share once every member has the current roster."""
     share = state.share
--- a/egretmill/peers/datagrams.py
+++ b/egretmill/peers/datagrams.py
@@ -23,6 +23,10 @@
 )
 
 FractionByAccount = dict[str, float]
+#: Memory of a heartbeat that reports nothing about accounts and upstreams ...
+HEARTBEAT_BYTES = 2048
+#: ... and of each of its reports.
+ROW_BYTES = 300
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -83,6 +87,12 @@
     limits: dict[str, LimitReport] = {}
     configuration_version: int = 0
 
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the heartbeat takes, about."""
+        rows = len(self.shortages) + len(self.loans) + len(self.limits)
+        return HEARTBEAT_BYTES + rows * ROW_BYTES
+
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
     """Asks an owner of a client account's limit for one token.
--- a/egretmill/peers/table.py
+++ b/egretmill/peers/table.py
@@ -28,6 +28,14 @@
 #: them. With two, one remains until the peers notice the loss of the other.
 DESIGNATED_READERS = 2
 
+#: Hosts outside the roster that are known at the same time: all of the largest
+#: fleet while the store cannot be read, and those that join.
+MAX_UNLISTED_PEERS = 1024
+#: Memory for the last heartbeats of all hosts; those outside the roster may
+#: take half of it.
+HEARTBEAT_MEMORY_BYTES = 32 << 20
+UNLISTED_MEMORY_BYTES = HEARTBEAT_MEMORY_BYTES // 2
+
 
 def heartbeat_interval_s(size: int) -> float:
     """Return the time between two heartbeats to one peer, by fleet size."""
@@ -43,6 +51,7 @@
     :param heartbeat: the newest one, ``None`` before the first.
     :param last_received_at: when it arrived.
     :param last_sent_at: when this host last sent a heartbeat to the peer.
+    :param is_listed: it is in the roster.
     """
 
     name: str
@@ -50,6 +59,12 @@
     heartbeat: Heartbeat | None = None
     last_received_at: float = 0
     last_sent_at: float = 0
+    is_listed: bool = False
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return the memory that the last heartbeat takes."""
+        return self.heartbeat.kept_bytes if self.heartbeat else 0
 
     def is_alive(self, now: float, timeout_s: float) -> bool:
         """Return whether its last heartbeat has not timed out."""
@@ -65,6 +80,12 @@
     def __init__(self, host: str) -> None:
         self.host = host
         self.peers: dict[str, Peer] = {}
+        self.unlisted = 0
+        #: Memory of the last heartbeats, and that of hosts outside the roster.
+        self.kept_bytes = 0
+        self.unlisted_bytes = 0
+        #: Heartbeats for which there was no room, since :meth:`make_room`.
+        self.refused = 0
 
     @property
     def interval_s(self) -> float:
@@ -85,25 +106,58 @@
                 continue
             current = self.peers.get(name)
             if current is None or current.address != address:
-                self.peers[name] = Peer(name, address)
+                current = Peer(name, address)
+                self.peers[name] = current
+            current.is_listed = True
+        self._count()
 
     def record_heartbeat(
         self, heartbeat: Heartbeat, address: tuple[str, int], now: float
     ) -> bool:
-        """Record a heartbeat; return whether it is newer than the last one."""
+        """Record a heartbeat that is newer than the last one of its host.
+
+        Return whether it was recorded: any sender can name a new host, so that
+        there may be no room for it.
+        """
         if heartbeat.host == self.host:
             return False
-        peer = self.peers.setdefault(
-            heartbeat.host, Peer(heartbeat.host, address)
-        )
+        peer = self.peers.get(heartbeat.host)
+        if peer is None:
+            peer = Peer(heartbeat.host, address)
         previous = peer.heartbeat
         if previous is not None and not _supersedes(heartbeat, previous):
             return False
+        if not self._has_room(peer, heartbeat.kept_bytes):
+            self.refused += 1
+            return False
+        self._add_kept_bytes(peer, heartbeat.kept_bytes - peer.kept_bytes)
+        if peer.name not in self.peers:
+            self.unlisted += 1
+            self.peers[peer.name] = peer
         peer.address = address
         peer.heartbeat = heartbeat
         peer.last_received_at = now
         return True
 
+    def make_room(self, now: float) -> tuple[str, ...]:
+        """Remove dead hosts outside the roster if heartbeats were refused.
+
+        :returns: their names.
+        """
+        if not self.refused:
+            return ()
+        self.refused = 0
+        timeout_s = self.timeout_s
+        removed = tuple(
+            peer.name
+            for peer in self.peers.values()
+            if not peer.is_listed and not peer.is_alive(now, timeout_s)
+        )
+        for name in removed:
+            self.peers.pop(name)
+        self._count()
+        return removed
+
     def live_peers(self, now: float) -> list[Peer]:
         """Return the peers whose last heartbeat has not timed out."""
         timeout_s = self.timeout_s
@@ -134,6 +188,29 @@
         peer = self.peers.get(name)
         return peer.heartbeat.sent_at if peer and peer.heartbeat else 0
 
+    def _has_room(self, peer: Peer, kept_bytes: int) -> bool:
+        """Return whether there is room for the next heartbeat of a peer."""
+        added_bytes = kept_bytes - peer.kept_bytes
+        if self.kept_bytes + added_bytes > HEARTBEAT_MEMORY_BYTES:
+            return False
+        if peer.is_listed:
+            return True
+        if self.unlisted_bytes + added_bytes > UNLISTED_MEMORY_BYTES:
+            return False
+        return peer.name in self.peers or self.unlisted < MAX_UNLISTED_PEERS
+
+    def _add_kept_bytes(self, peer: Peer, added_bytes: int) -> None:
+        self.kept_bytes += added_bytes
+        if not peer.is_listed:
+            self.unlisted_bytes += added_bytes
+
+    def _count(self) -> None:
+        """Count again what is kept, after peers were added or removed."""
+        unlisted = [peer for peer in self.peers.values() if not peer.is_listed]
+        self.unlisted = len(unlisted)
+        self.unlisted_bytes = sum(peer.kept_bytes for peer in unlisted)
+        self.kept_bytes = sum(peer.kept_bytes for peer in self.peers.values())
+
 
 def _reader_rank(name: str) -> int:
     return xxhash.xxh3_64_intdigest(name.encode())
--- a/tests/peers/test_table.py
+++ b/tests/peers/test_table.py
@@ -11,6 +11,7 @@
     decode_datagram,
     encode_datagram,
 )
+from egretmill.peers.table import MAX_UNLISTED_PEERS, UNLISTED_MEMORY_BYTES
 
 #: The contract's contact time of 3 s, and 3 s more.
 MAX_STALE_ENTRY_S = 6
@@ -105,3 +106,64 @@
     """Guards against a host that lends to itself."""
     table = PeerTable('b')
     assert not table.record_heartbeat(make_heartbeat(), ADDRESS, NOW)
+
+
+def fill_with_forged_hosts(table, count):
+    """Record heartbeats of hosts that the roster does not name."""
+    for number in range(count):
+        heartbeat = make_heartbeat(f'forged-{number}')
+        table.record_heartbeat(heartbeat, ADDRESS, NOW)
+
+
+def test_number_of_hosts_outside_the_roster_is_limited():
+    """Guards against a table that any sender can fill."""
+    table = PeerTable('a')
+    fill_with_forged_hosts(table, MAX_UNLISTED_PEERS + 10)
+    assert len(table.peers) == MAX_UNLISTED_PEERS
+    assert table.refused == 10
+
+
+def test_host_of_the_roster_is_recorded_beside_forged_ones():
+    """Guards against forged hosts that keep the fleet apart."""
+    table = PeerTable('a')
+    fill_with_forged_hosts(table, MAX_UNLISTED_PEERS)
+    assert not table.record_heartbeat(make_heartbeat(), ADDRESS, NOW)
+    table.apply_roster({'a': ADDRESS, 'b': ADDRESS})
+    assert table.record_heartbeat(make_heartbeat(), ADDRESS, NOW)
+    assert set(table.peers) == {'b'}
+    assert table.kept_bytes == table.peers['b'].kept_bytes
+    assert table.unlisted_bytes == 0
+
+
+def test_long_heartbeats_are_limited_by_their_memory():
+    """Guards against few hosts whose heartbeats fill the memory."""
+    shortages = {f'{number}': (0.5, 0.1) for number in range(2000)}
+    heartbeat = msgspec.structs.replace(make_heartbeat(), shortages=shortages)
+    table = PeerTable('a')
+    table.apply_roster({'a': ADDRESS, 'b': ADDRESS})
+    for number in range(100):
+        forged = msgspec.structs.replace(heartbeat, host=f'forged-{number}')
+        table.record_heartbeat(forged, ADDRESS, NOW)
+    assert table.kept_bytes <= UNLISTED_MEMORY_BYTES
+    assert table.record_heartbeat(heartbeat, ADDRESS, NOW)
+
+
+def test_newer_heartbeat_takes_the_room_of_the_last_one():
+    """Guards against a count that grows with every heartbeat."""
+    table = PeerTable('a')
+    for sent_at in range(1, 100):
+        heartbeat = make_heartbeat(sent_at=sent_at)
+        assert table.record_heartbeat(heartbeat, ADDRESS, NOW)
+    assert table.kept_bytes == table.unlisted_bytes == heartbeat.kept_bytes
+
+
+def test_dead_hosts_outside_the_roster_make_room_for_others():
+    """Guards against hosts that stay unknown after forged ones have ended."""
+    table = PeerTable('a')
+    fill_with_forged_hosts(table, MAX_UNLISTED_PEERS)
+    later = NOW + table.timeout_s + 1
+    assert not table.make_room(later)
+    assert not table.record_heartbeat(make_heartbeat(), ADDRESS, later)
+    assert len(table.make_room(later)) == MAX_UNLISTED_PEERS
+    assert table.record_heartbeat(make_heartbeat(), ADDRESS, later)
+    assert table.kept_bytes == table.peers['b'].kept_bytes
