Count the bytes of callers that the kernel holds

The memory of a machine holds what its kernel has received, too. A connection that is not read keeps up to its receive window there, which grows to several MB for callers that have sent fast over a long link. These bytes counted nowhere: a host within its limits could use far more than its machine has.

They count now while a connection is not read, and what all connections keep is counted again every 0.25 s, so that those with the most unread bytes are ended like those that keep the most in the process. The test in test_caller_limits.py cannot run on the old code, which has no such count.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -88,6 +88,13 @@
         'kept the most were refused, or their connections closed; gives their '
         'number and the bytes before and after.',
     )
+    UNREAD_UNKNOWN = Event(
+        114,
+        'unread_unknown',
+        logging.WARNING,
+        'The kernel does not say how many bytes of a caller it holds. They do '
+        'not count in the memory of the callers.',
+    )
     ACCEPT_FAILED = Event(
         110,
         'accept_failed',
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -131,6 +131,7 @@
             run_supervised('keep', self.keeper.maintain),
             run_supervised('settings', self.watch_settings),
             run_supervised('load', self.load.run),
+            run_supervised('memory', self.handler.memory.keep_counting),
             run_supervised('readiness', lambda: self.log_readiness(started_at)),
             *(
                 run_supervised(topic.value, watch.run)
--- a/egretmill/http1/buffers.py
+++ b/egretmill/http1/buffers.py
@@ -1,5 +1,6 @@
 """Bounds the memory that connections keep, in all and for one caller."""
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 from typing import Protocol
@@ -21,6 +22,8 @@
 #: Connections are ended until this fraction of the limit is left, so that the
 #: search for them is rare.
 EVICTED_TO_FRACTION = 0.9
+#: Time between two counts of what connections keep, in seconds.
+COUNT_INTERVAL_S = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,11 +114,24 @@
             finally:
                 self.is_evicting = False
 
-    def _evict(self) -> None:
-        """End connections, the largest first."""
+    def refresh(self) -> None:
+        """Record again what each connection keeps.
+
+        Meanwhile, answers may have been sent, and the kernel may have received
+        bytes of connections that are not read.
+        """
         for connection in tuple(self.recorded):
-            # What was sent since the last record is not kept any more.
             self.record(connection, connection.kept_bytes)
+
+    async def keep_counting(self) -> None:
+        """Refresh the records now and then, until cancelled."""
+        while True:
+            await asyncio.sleep(COUNT_INTERVAL_S)
+            self.refresh()
+
+    def _evict(self) -> None:
+        """End connections, the largest first."""
+        self.refresh()
         before_bytes = self.used_bytes
         if before_bytes <= self.limit_bytes:
             return
--- a/egretmill/http1/server.py
+++ b/egretmill/http1/server.py
@@ -77,12 +77,13 @@
 
     @property
     def kept_bytes(self) -> int:
-        """Return the memory that the connection keeps now."""
+        """Return the memory that the connection keeps now, here and unread."""
         if self.transport is None:
             return 0
         kept_bytes = self.transport.get_write_buffer_size()
         if self.transport.is_closing():
             return kept_bytes
+        kept_bytes += self.unread_bytes
         kept_bytes += len(self.unparsed) + self.reader.kept_bytes
         kept_bytes += _sum_kept_bytes(self.queue)
         receiving = self.receiving
--- a/egretmill/http1/transport.py
+++ b/egretmill/http1/transport.py
@@ -1,10 +1,15 @@
 """Base class of HTTP connections: socket options and flow control."""
 
+import array
 import asyncio
+import fcntl
 import socket
+import termios
 from typing import Any
 
+from egretmill import events
 from egretmill.http1.usage import ConnectionUsage
+from egretmill.logs import log_event
 
 __all__ = ('ConnectionTransport',)
 
@@ -33,6 +38,17 @@
         """Return whether nothing can be sent, before or after connecting."""
         return self.transport is None or self.transport.is_closing()
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return what the kernel holds while reading is paused."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        if transport.is_reading():
+            return 0
+        sock = transport.get_extra_info('socket')
+        return 0 if sock is None else count_unread(sock)
+
     def connection_made(self, transport: Any) -> None:
         """Set the socket options."""
         self.transport = transport
@@ -86,3 +102,14 @@
             transport.resume_reading()
         elif not enabled and transport.is_reading():
             transport.pause_reading()
+
+
+def count_unread(sock: socket.socket) -> int:
+    """Return how many received bytes of a socket have not been read."""
+    count = array.array('i', (0,))
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    except OSError as error:
+        log_event(events.CATALOGUE.UNREAD_UNKNOWN, error=str(error))
+        return 0
+    return count[0]
--- a/tests/http1/test_caller_limits.py
+++ b/tests/http1/test_caller_limits.py
@@ -12,7 +12,7 @@
 )
 from egretmill.http1.body import BODY_BUFFER_BYTES, JOINED_CHUNK_BYTES
 from egretmill.http1.buffers import HEADER_OVERHEAD_BYTES
-from egretmill.http1.server import MAX_KEPT_BYTES
+from egretmill.http1.server import MAX_KEPT_BYTES, MAX_PIPELINED_REQUESTS
 from tests.http1.harness import (
     FakeTransport,
     Recorder,
@@ -256,6 +256,21 @@
     assert recorder.memory.used_bytes == 0
 
 
+async def test_bytes_that_the_kernel_holds_count():
+    """Guards against many callers with unread bytes that fill the memory."""
+    recorder = Recorder()
+    async with serve_connection(recorder) as (_, writer):
+        writer.write(GET_B * MAX_PIPELINED_REQUESTS + LONG * 100)
+        await wait_until(lambda: recorder.connections)
+        connection = recorder.connections[0]
+        await wait_until(lambda: connection.unread_bytes)
+        memory = recorder.memory
+        memory.limit_bytes = connection.kept_bytes - 1
+        memory.refresh()
+        await wait_until(lambda: not recorder.connections)
+        assert memory.used_bytes == 0
+
+
 async def test_rest_of_an_answered_request_has_a_time_limit():
     """Guards against uploads that hold a descriptor for ever."""
     recorder = Recorder(ConnectionLimits(discard_s=0.05))
