Start the time limit of a request when its rest can arrive

A connection between programs with 32 long polls at work is not read, so the rest of a request behind them could not arrive, but its time limit of 10 s ran on: the connection, with all its calls, was ended when the first poll was answered. Found by reading the new server; the test fails without the change.

--- a/egretmill/wire/connection.py
+++ b/egretmill/wire/connection.py
@@ -83,7 +83,7 @@
     def resume_writing(self) -> None:
         """Take further requests when the client reads its replies again."""
         super().resume_writing()
-        self.take_requests()
+        self._resume()
 
     def take_requests(self) -> None:
         """Start complete requests while there is room, and read on."""
@@ -131,9 +131,17 @@
         self.write(encode_reply(identifiers, reply))
 
     def _end(self, task: asyncio.Task[None], size: int) -> None:
+        had_room = self.has_room
         self.tasks.discard(task)
         self.request_bytes -= size
         if self.is_closed:
             self.server.memory.record(self, self.kept_bytes)
-        else:
+        elif had_room:
             self.take_requests()
+        else:
+            self._resume()
+
+    def _resume(self) -> None:
+        """Take further requests; their rest could not arrive meanwhile."""
+        self.part_since = self.loop.time()
+        self.take_requests()
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -10,6 +10,7 @@
 from egretmill.ledger import MAX_ANSWER_BYTES
 from egretmill.metrics import Metrics
 from egretmill.wire import PeerClient, Server, messages
+from egretmill.wire.connection import CONCURRENT_REQUESTS
 from egretmill.wire.framing import REPLY_GREETING, REQUEST_GREETING
 from egretmill.wire.server import REQUEST_LIMIT_S
 from tests.wire.test_peer import ADDRESS, free_port
@@ -138,6 +139,28 @@
     idle_writer.close()
 
 
+async def test_time_limit_starts_when_a_waiting_connection_is_read(service):
+    """Guards against clients that are cut off because of long polls."""
+    service.may_answer.clear()
+    request = encode_request(messages.FetchDocument(1))
+    reader, writer = await service.connect()
+    writer.write(request * CONCURRENT_REQUESTS + request[:-1])
+    while len(service.received) < CONCURRENT_REQUESTS:
+        await asyncio.sleep(0.01)
+    connection = next(iter(service.server.connections))
+    now = asyncio.get_running_loop().time()
+    connection.part_since = now - REQUEST_LIMIT_S - 1
+    assert not connection.is_slow(now, REQUEST_LIMIT_S)
+    service.may_answer.set()
+    while connection.tasks:
+        await asyncio.sleep(0.01)
+    assert not connection.is_slow(now, REQUEST_LIMIT_S)
+    writer.write(request[-1:])
+    while len(service.received) <= CONCURRENT_REQUESTS:
+        await asyncio.sleep(0.01)
+    writer.close()
+
+
 async def test_clients_that_stay_connected_make_room_for_others(service):
     """Guards against idle clients that keep all others out."""
     held = [await service.connect() for _ in range(3 * MAX_CONNECTIONS)]
