--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -1,6 +1,8 @@
 """Client connections to upstreams that misbehave."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 from result import Err, Ok
@@ -374,3 +376,36 @@
         body.mark_truncated()
         outcome = await task
     assert outcome.err_value.cause is FailureCause.CALLER_GONE
+
+
+@pytest.mark.parametrize('length', [b'%d' % LONG_BODY_BYTES, None])
+@pytest.mark.parametrize('delay_s', [0, 0.05])
+async def test_reset_during_an_upload_is_no_end_of_the_answer(length, delay_s):
+    """Guards against a part of an answer that is passed on as a whole.
+
+    The answer has no length, and the upstream resets the connection while the
+    request is still being written.
+    """
+
+    async def serve(reader, writer):
+        linger = struct.pack('ii', 1, 0)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        await asyncio.sleep(delay_s)
+        writer.transport.abort()
+
+    body = Body()
+    async with run_upstream(serve) as port:
+        connection = (await connect(ADDRESS, port, 1)).ok_value
+        call = make_call(method=b'POST')
+        call.body = body
+        call.declared_length = length
+        task = asyncio.create_task(connection.send(call))
+        await asyncio.sleep(0)
+        body.feed(b'u' * LONG_BODY_BYTES)
+        body.mark_complete()
+        outcome = await task
+    assert outcome.err_value.cause is FailureCause.CLOSED
+    assert outcome.err_value.sent
