Take changes of upstreams from hosts of the fleet only

Any sender could add upstreams to a host by one datagram, and ordinary requests would be sent to them.

Cause: changes were applied whoever sent them. They count now if their source address is that of the host that they name, and the roster names it.

A sender with the address of a host is not recognized: heartbeats and changes are still not signed.

--- a/egretmill/events.py
+++ b/egretmill/events.py
@@ -404,6 +404,13 @@
         'roster does not name; gives their number since the last line, and how '
         'many dead hosts were removed.',
     )
+    CHANGES_IGNORED = Event(
+        614,
+        'changes_ignored',
+        logging.WARNING,
+        'Changes of upstreams did not come from the address of a host that '
+        'takes part in the fleet.',
+    )
     DUTY_CHANGED = Event(
         609,
         'duty_changed',
--- a/egretmill/host/heartbeats.py
+++ b/egretmill/host/heartbeats.py
@@ -27,6 +27,7 @@
 from egretmill.peers.link import PeerLink
 from egretmill.peers.table import Peer
 from egretmill.shares.loans import Shortage
+from egretmill.shares.roster import ROSTER_LEASE_S
 
 __all__ = ('HeartbeatService',)
 
@@ -237,7 +238,14 @@
             case TokenResponse() as response:
                 self.tokens.handle_response(response)
             case UpstreamChanges() as changes:
-                self.on_changes(changes)
+                if _takes_part(self.state, changes.host, address):
+                    self.on_changes(changes)
+                else:
+                    log_event(
+                        events.CATALOGUE.CHANGES_IGNORED,
+                        host=changes.host,
+                        address=address[0],
+                    )
             case LeavingUpstream() as leaving:
                 self.on_leaving(leaving, address)
 
@@ -370,6 +378,18 @@
         self.state.metrics.share.set(self.state.share.fraction(now))
 
 
+def _takes_part(state: HostState, host: str, address: tuple[str, int]) -> bool:
+    """Return whether a host of the fleet has an address.
+
+    A host that the roster does not name may have joined since it was current.
+    """
+    peer = state.peers.peers.get(host)
+    if peer is None or peer.address != address:
+        return False
+    is_stale = state.share.freshness.age(state.now()) > ROSTER_LEASE_S
+    return peer.is_listed or is_stale
+
+
 def _remove_dead_peers(state: HostState, now: float) -> None:
     """Remove dead hosts outside the roster if others found no room."""
     refused = state.peers.refused
--- a/tests/host/test_heartbeats.py
+++ b/tests/host/test_heartbeats.py
@@ -12,9 +12,10 @@
 from egretmill.host.request_check import check_request
 from egretmill.host.store_read_policy import PUSH_WAIT_S
 from egretmill.fleet.upstreams import UpstreamState
-from egretmill.peers import Heartbeat, PeerTable
+from egretmill.peers import Heartbeat, PeerTable, UpstreamChanges
 from egretmill.peers.datagrams import LimitReport
 from egretmill.peers.table import DESIGNATED_READERS
+from egretmill.shares.roster import ROSTER_LEASE_S
 from tests.host.fakes import (
     configuration,
     make_head,
@@ -385,3 +386,53 @@
     )
     service.handle_heartbeat(heartbeat, ADDRESS)
     assert service.state.pool.loads['u0'].is_limited is is_limited
+
+
+FORGED_ADDRESS = ('10.0.0.9', 7000)
+
+
+def share_roster(service, **addresses):
+    """Let the roster name hosts, as just read."""
+    service.state.peers.apply_roster(addresses)
+    service.state.share.freshness.confirmed_at = boot_time()
+
+
+@pytest.mark.parametrize(
+    ('roster_age_s', 'host', 'address', 'is_applied'),
+    [
+        (0, 'h2', ADDRESS, True),
+        (0, 'h2', FORGED_ADDRESS, False),
+        (0, 'forged', FORGED_ADDRESS, False),
+        (ROSTER_LEASE_S + 1, 'h3', ADDRESS, True),
+        (ROSTER_LEASE_S + 1, 'forged', FORGED_ADDRESS, False),
+    ],
+)
+def test_changes_are_taken_from_hosts_of_the_fleet_only(
+    roster_age_s, host, address, is_applied
+):
+    """Guards against upstreams that any sender can add."""
+    service, _ = make_service()
+    share_roster(service, h2=ADDRESS)
+    applied = []
+    service.on_changes = applied.append
+    service.receive(matching_heartbeat(service, host='h2'), ADDRESS)
+    service.receive(matching_heartbeat(service, host='h3'), ADDRESS)
+    service.state.share.freshness.confirmed_at = boot_time() - roster_age_s
+    service.receive(UpstreamChanges(host, 99, [upstream()]), address)
+    assert bool(applied) is is_applied
+
+
+def test_joining_host_sends_no_changes_before_the_roster_names_it():
+    """Guards against senders that name themselves in a heartbeat first."""
+    service, _ = make_service()
+    share_roster(service, h2=ADDRESS)
+    applied = []
+    service.on_changes = applied.append
+    heartbeat = matching_heartbeat(service, host='forged')
+    service.receive(heartbeat, FORGED_ADDRESS)
+    changes = UpstreamChanges('forged', 99, [upstream()])
+    service.receive(changes, FORGED_ADDRESS)
+    assert not applied
+    share_roster(service, forged=FORGED_ADDRESS)
+    service.receive(changes, FORGED_ADDRESS)
+    assert applied == [changes]
