--- a/tests/platform/test_crowded_host.py
+++ b/tests/platform/test_crowded_host.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.misbehaving import keep_tasks
 from tests.platform.test_program import (
     ADDRESS,
     TIMEOUT_S,
@@ -111,13 +112,9 @@
         asyncio.create_task(keep_asking(environment, number, answers))
         for number in range(CROWD)
     ]
-    await asyncio.sleep(FILL_S)
-    try:
+    async with keep_tasks(tasks):
+        await asyncio.sleep(FILL_S)
         yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def probe_repeatedly(environment):
