Keep new callers waiting while others have yet to send

Seen by callers: a reset in place of an answer.

Cause: a host at its limit of connections closed on those who waited for longer than a pause of 50 ms, also when all that kept its room were connections whose callers had not sent a request yet. Those are answered, or closed as idle, within 0.5 s; a caller on a slow machine needs more than 50 ms from connecting to sending.

The listener now refuses only when every connection awaits an answer; the wait for others ends, at the latest, when they count as idle. The new test fails before with a connection reset. test_full_host_closes_new_connections_and_ is_not_ready expected the refusal behind a silent connection, which is the fault: its connection awaits an answer now, and the assertions are the same.

--- a/egretmill/host/callers.py
+++ b/egretmill/host/callers.py
@@ -36,6 +36,19 @@
         """Return how many more callers may connect."""
         return self.limit - len(self.open)
 
+    @property
+    def has_unused(self) -> bool:
+        """Return whether there is a connection without an awaited answer.
+
+        It is closed when it has been idle for long enough.
+        """
+        now = self.now()
+        unused = itertools.chain(
+            self._unused_since(now, receiving=False),
+            self._unused_since(now, receiving=True),
+        )
+        return next(unused, None) is not None
+
     def add(self, connection: ServerConnection) -> None:
         """Track a new connection, which is idle."""
         self.open[connection] = None
--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -41,7 +41,7 @@
         self.loop = asyncio.get_running_loop()
         self.socket: ListeningSocket | None = None
         self.starting: set[asyncio.Task[None]] = set()
-        #: There was no room before the last pause.
+        #: There was no room before the last pause, and none was expected.
         self.was_full = False
 
     def open(self) -> None:
@@ -66,9 +66,10 @@
     def accept_waiting(self) -> None:
         """Accept the waiting connections, as many as there is room for.
 
-        Idle connections are closed to make room. Without any, the waiting ones
-        stay for a pause, in which those of refused requests close. Then they
-        are closed unserved.
+        Idle connections are closed to make room. The waiting ones stay while
+        others have yet to send a request: those are answered, or closed as
+        idle. Without any, the waiting ones stay for a pause, in which
+        connections of refused requests close. Then they are closed unserved.
         """
         connections = self.handler.connections
         room = connections.room - len(self.starting)
@@ -124,11 +125,14 @@
             log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
 
     def _wait_for_room(self) -> None:
-        """Pause; refuse those who still wait after a pause."""
-        refused = self._refuse_waiting() if self.was_full else 0
+        """Pause; refuse those who wait if no room is to be expected."""
+        expects_room = self.starting or self.handler.connections.has_unused
+        refused = 0
+        if self.was_full and not expects_room:
+            refused = self._refuse_waiting()
         if refused:
             self._record_failure('no room for callers', refused)
-        self.was_full = True
+        self.was_full = not expects_room
         self._pause()
 
     def _handle_failure(self, error: OSError) -> None:
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -20,6 +20,8 @@
 from tests.http1.harness import ADDRESS, wait_until
 
 CALLERS = 3 * MAX_ACCEPTED_AT_ONCE
+ANSWER_S = 5
+REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
 class ExhaustedSocket(ListeningSocket):
@@ -39,6 +41,10 @@
         return super().accept()
 
 
+def leave_unanswered(pending):
+    """Serve a request for ever."""
+
+
 @pytest.fixture
 async def listener(monkeypatch):
     """Return an open listener on a free port."""
@@ -60,14 +66,16 @@
 
 @contextlib.contextmanager
 def connect_callers(listener, count):
-    """Connect callers to a listener."""
+    """Connect callers to a listener; yield their sockets."""
     address = listener.socket.getsockname()
     with contextlib.ExitStack() as stack:
+        callers = []
         for _ in range(count):
             caller = socket.create_connection(address)
             stack.enter_context(caller)
             caller.setblocking(False)
-        yield
+            callers.append(caller)
+        yield callers
 
 
 async def test_crowd_is_accepted_in_parts(listener):
@@ -101,16 +109,36 @@
     assert 0 < listener.socket.accepts <= 30
 
 
-async def test_full_host_closes_new_connections_and_is_not_ready(listener):
+async def test_full_host_closes_new_connections_and_is_not_ready(
+    listener, monkeypatch
+):
     """Guards against callers that wait in the queue of a full host."""
     state = listener.state
-    listener.handler.connections.limit = 1
+    connections = listener.handler.connections
+    connections.limit = 1
+    monkeypatch.setattr(listener.handler, 'start_request', leave_unanswered)
     address = listener.socket.getsockname()
-    with connect_callers(listener, 1):
-        await wait_until(lambda: len(listener.handler.connections) == 1)
+    with connect_callers(listener, 1) as callers:
+        callers[0].sendall(REQUEST)
+        await wait_until(lambda: any(row.queue for row in connections))
         reader, writer = await asyncio.open_connection(*address)
         async with asyncio.timeout(1):
             assert not await reader.read()
         assert not state.is_ready
         writer.close()
     await wait_until(lambda: state.is_ready)
+
+
+async def test_new_caller_is_not_reset_while_others_have_yet_to_send(listener):
+    """Guards against resets of new callers by a host that will have room."""
+    listener.handler.connections.limit = CALLERS
+    address = listener.socket.getsockname()
+    with connect_callers(listener, CALLERS):
+        await wait_until(lambda: len(listener.handler.connections) == CALLERS)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(REQUEST)
+        async with asyncio.timeout(ANSWER_S):
+            head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 404 ')
+        assert listener.state.accept_failures == 0
+        writer.close()
