Require keys also when no client account is left

Cause: a configuration whose list of accounts is empty was decoded as one without the field, which requires no keys.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -48,7 +48,7 @@
 
 
 def configuration_row(version, keys):
-    """Return the content of the operator's configuration row."""
+    """Return the operator's configuration, with one account or with none."""
     rule = {
         'Name': 'r',
         'Kind': 'unsafe',
@@ -58,7 +58,7 @@
     }
     body = {
         'Version': f'{version:08x}',
-        'Tenants': [{'Name': 't', 'ApiKeys': keys}],
+        'Tenants': [{'Name': 't', 'ApiKeys': keys}] if keys else [],
         'Listeners': [{'Host': 'h', 'Rules': [rule]}],
         'Clusters': [{'Name': 's'}],
     }
@@ -277,6 +277,16 @@
     assert environment.upstream.request_ids == [b'id1', b'id3']
 
 
+async def test_no_key_works_once_the_last_account_has_left(environment):
+    """Guards against withdrawn and unknown keys that run without accounts."""
+    assert (await environment.get('entry', b'/a/1', b'id1'))[0] == 200
+    environment.store.put('op', 'config', configuration_row(2, []))
+    await asyncio.sleep(0.5)
+    for key in (b'k1', b'never-known', b''):
+        assert (await environment.get('entry', b'/a/2', b'id2', key))[0] == 401
+    assert environment.upstream.request_ids == [b'id1']
+
+
 @pytest.fixture
 async def peer(environment, tmp_path):
     """Return a second host, whose store can hold what the first one lacks."""
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -98,6 +98,18 @@
     assert (decoded.limits.header_s, decoded.limits.idle_s) == (3, 15)
 
 
+def test_keys_are_required_once_the_last_account_has_left():
+    """Guards against withdrawing the last key, which would admit all callers.
+
+    Only a configuration without the field requires no keys.
+    """
+    emptied = decode_configuration(encode(CONFIGURATION, Tenants=[])).ok_value
+    assert (emptied.requires_keys, emptied.account_by_key) == (True, {})
+    without = {**CONFIGURATION}
+    del without['Tenants']
+    assert not decode_configuration(encode(without)).ok_value.requires_keys
+
+
 @pytest.mark.parametrize(
     'content',
     [
@@ -107,6 +119,7 @@
         encode(CONFIGURATION, Version=12),
         encode(CONFIGURATION, Version='xyz'),
         encode(CONFIGURATION, Listeners={}),
+        encode(CONFIGURATION, Tenants=None),
         encode(CONFIGURATION)[:-9],
     ],
 )
