Send on no request for the first time late in a stop

Cause: what a stopping host takes was decided where a head is read, with 0.25 s more for the first request of a connection, and never again. A request could wait for its body, its rate or a connection and be sent on at any later time.

The tests of the exchange check a new field, so on the old code they end in an AttributeError.

Every request is now checked against one time, 0.45 of the grace after the signal, when its head is read, before an upstream is selected and once a connection is acquired. It is refused with 503 and the promise that it has not run. Retries of requests that an upstream has got go on.

--- a/egretmill/host/answers.py
+++ b/egretmill/host/answers.py
@@ -14,6 +14,8 @@
 #: Bounds of Retry-After, in seconds.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
+#: Retry-After of a host that is leaving, in seconds: others serve at once.
+LEAVING_RETRY_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +50,12 @@
         """End a request that an upstream may have run."""
         return cls(failure.kind, Outcome.UNKNOWN, failure.detail)
 
+    @classmethod
+    def leaving(cls) -> 'Refusal':
+        """Refuse a request because the host is shutting down."""
+        failure = Failure(ErrorKind.SHUTTING_DOWN, 'host is leaving')
+        return cls.not_run(failure, LEAVING_RETRY_S)
+
     @classmethod
     def internal(cls, error: Exception) -> 'Refusal':
         """End a request after an unexpected exception."""
--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -34,6 +34,7 @@
     NoUpstream,
     SelectedUpstream,
     ServiceTimes,
+    UpstreamLoad,
     UpstreamSelector,
 )
 from egretmill.shares.accounts import Limited
@@ -148,6 +149,8 @@
         now = self.state.now()
         self.state.budget.record_request(self.accepted.service, now)
         while True:
+            if not self.attempts and not self.state.serves:
+                return Err(Refusal.leaving())
             selected = self._select_upstream()
             if isinstance(selected, Err):
                 return self._finish_unsuccessfully(selected.err_value)
@@ -267,7 +270,7 @@
         if isinstance(acquired, Err):
             return acquired
         connection: ClientConnection = acquired.ok_value
-        if not self.state.pool.is_eligible(selected.load):
+        if not _can_send_to(self, selected.load):
             self.state.pool.release(selected.load, connection)
             self.retry_reserved = self.attempts > 0
             return Err(
@@ -408,6 +411,14 @@
         exchange.state.awaited_bodies -= 1
 
 
+def _can_send_to(exchange: Exchange, load: UpstreamLoad) -> bool:
+    """Return whether a request can still be sent, after connecting."""
+    state = exchange.state
+    if not exchange.attempts and not state.serves:
+        return False
+    return state.pool.is_eligible(load)
+
+
 def _cut_request(exchange: Exchange) -> None:
     """Send no more of a body whose early answer is not passed on."""
     if exchange.unfinished is not None:
--- a/egretmill/host/handler.py
+++ b/egretmill/host/handler.py
@@ -33,8 +33,6 @@
 
 __all__ = ('EntryHandler',)
 
-#: Retry-After of a host that is leaving, in seconds: others serve at once.
-LATE_RETRY_S = 0.05
 #: Retry-After of a host that serves as many requests as it can, in seconds;
 #: another host may have room at once.
 OVERLOADED_RETRY_S = 0.25
@@ -126,9 +124,8 @@
 
     def start_request(self, pending: PendingAnswer) -> None:
         """Check a request and start its exchange, or refuse it."""
-        if pending.is_late:
-            failure = Failure(ErrorKind.SHUTTING_DOWN, 'host is leaving')
-            self.refuse(pending, Refusal.not_run(failure, LATE_RETRY_S))
+        if pending.is_late or not self.state.serves:
+            self.refuse(pending, Refusal.leaving())
             return
         if self.is_loop_late(pending.head.received_at):
             self.refuse_overloaded(pending, 'event loop is late')
--- a/egretmill/host/program.py
+++ b/egretmill/host/program.py
@@ -37,6 +37,9 @@
 #: callers cache a directory answer for some seconds. A request that is taken
 #: later may still be at an upstream when the grace ends.
 ACCEPTING_FRACTION = 0.5
+#: Fraction after which it serves none that no upstream has got. It may have
+#: noticed the signal later than its sender.
+SERVING_FRACTION = 0.45
 #: It stops accepting earlier after this time without requests, in seconds.
 IDLE_BEFORE_CLOSE_S = 1.5
 #: Fraction of the grace period after which running requests are cut off; the
@@ -202,6 +205,7 @@
             connections=len(self.handler.connections),
         )
         self.heartbeats.tick()
+        self.state.serves_until = now + grace_s * SERVING_FRACTION
         await self.wait_for_idle(now + grace_s * ACCEPTING_FRACTION)
         listeners.close()
         for connection in tuple(self.handler.connections):
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 from collections.abc import Callable
 
 import xxhash
@@ -52,6 +53,8 @@
     :param suspects: hosts whose roster entries will be removed unless they
         clear the suspicion.
     :param leaving: the host is shutting down.
+    :param serves_until: boot time from which requests that no upstream has got
+        are refused, because they could still be at work when the host ends.
     :param accepting: connections of callers can be accepted.
     :param accept_failures: connections that could not be accepted so far.
     :param awaited_bodies: requests that wait for their body to arrive.
@@ -74,6 +77,7 @@
     incarnation: int = 0
     suspects: frozenset[str] = frozenset()
     leaving: bool = False
+    serves_until: float = math.inf
     accepting: bool = True
     accept_failures: int = 0
     awaited_bodies: int = 0
@@ -132,6 +136,11 @@
             return False
         return self.share.fraction(self.now()) > 0
 
+    @property
+    def serves(self) -> bool:
+        """Return whether there is time to serve a request before the end."""
+        return self.now() < self.serves_until
+
     def confirms_keys(self, age_s: float) -> bool:
         """Return whether keys are valid that were confirmed that long ago."""
         bounds = self.settings.bounds
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -415,3 +415,58 @@
         assert second.ok_value.status == 200
     else:
         assert second.err_value.outcome is Outcome.UNKNOWN
+
+
+def test_request_too_late_for_a_stop_is_not_sent():
+    """Guards against requests that a stop would cut at their upstream."""
+    server = ScriptedUpstream(response())
+
+    def leave(state):
+        state.serves_until = state.now()
+
+    ended, sent = run(server, change=leave)
+    refusal = ended.err_value
+    assert (refusal.kind, refusal.outcome) == (
+        ErrorKind.SHUTTING_DOWN,
+        Outcome.NOT_RUN,
+    )
+    assert sent == 0
+
+
+def test_request_that_waits_until_too_late_for_a_stop_is_not_sent():
+    """Guards against waiting requests that are sent on in the end of a stop."""
+    server = ScriptedUpstream(response())
+
+    def leave_while_connecting(state):
+        acquire = state.pool.acquire
+
+        async def acquire_late(*arguments):
+            acquired = await acquire(*arguments)
+            state.serves_until = state.now()
+            return acquired
+
+        state.pool.acquire = acquire_late
+
+    ended, sent = run(server, change=leave_while_connecting)
+    assert ended.err_value.kind == ErrorKind.SHUTTING_DOWN
+    assert sent == 0
+
+
+def test_retry_is_still_sent_in_a_stop():
+    """Guards against giving up requests that another upstream can serve."""
+    servers = two_upstreams(response(503, NOT_RUN), response())
+    servers[1].answers = servers[0].answers
+
+    def leave_after_the_first_attempt(state):
+        acquire = state.pool.acquire
+
+        async def acquire_and_leave(*arguments):
+            if sum(map(ScriptedUpstream.count, servers)):
+                state.serves_until = state.now()
+            return await acquire(*arguments)
+
+        state.pool.acquire = acquire_and_leave
+
+    ended, sent = run(*servers, change=leave_after_the_first_attempt)
+    assert sent == 2
+    assert ended.ok_value.status == 200
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).parents[2]
 ADDRESS = '127.0.0.1'
 TIMEOUT_S = 20
+GRACE_S = 4
 CALLERS = 16
 UPLOAD_BYTES = 3 << 20
 PIECE_BYTES = 65536
@@ -42,7 +43,7 @@
 [regions]
 "west-a" = "west"
 [bounds]
-Grace = "4s"
+Grace = "{grace_s}s"
 Revoke = "5s"
 """
 
@@ -154,7 +155,11 @@
     def write_settings(self, store_port):
         """Write the settings file."""
         settings = SETTINGS.format(
-            name=self.name, address=self.address, store=store_port, **self.ports
+            name=self.name,
+            address=self.address,
+            store=store_port,
+            grace_s=GRACE_S,
+            **self.ports,
         )
         self.path.write_text(settings)
 
@@ -409,6 +414,45 @@
     assert answered.count(200) >= CALLERS
 
 
+async def test_requests_sent_late_in_a_stop_are_not_passed_on(environment):
+    """Guards against requests that a stop cuts while an upstream has them.
+
+    Callers connect before the host closes its listener and send later.
+    """
+    content, _ = environment.store.rows['servers', 'w1']
+    environment.store.put(
+        'servers', 'w1', content.replace(b'"Slots": 4', b'"Slots": 400')
+    )
+    await asyncio.sleep(0.5)
+    environment.upstream.delay_s = 1.0
+    environment.pause_s = 0.2
+    loop = asyncio.get_running_loop()
+    sent_s = {}
+    answered = {}
+
+    async def ask(identifier):
+        try:
+            answer = await environment.get('entry', b'/a/1', identifier)
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        answered[identifier] = answer[0]
+
+    environment.process.send_signal(signal.SIGTERM)
+    stopped_at = loop.time()
+    callers = []
+    while loop.time() < stopped_at + GRACE_S / 2:
+        identifier = b'%d' % len(callers)
+        sent_s[identifier] = loop.time() + environment.pause_s - stopped_at
+        callers.append(asyncio.create_task(ask(identifier)))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*callers)
+    passed_on = environment.upstream.request_ids
+    assert all(sent_s[identifier] <= GRACE_S / 2 for identifier in passed_on)
+    assert all(answered[identifier] == 200 for identifier in passed_on)
+    refused = sent_s.keys() - set(passed_on)
+    assert 503 in {answered.get(identifier) for identifier in refused}
+
+
 async def test_planned_stop_answers_all_requests_of_a_busy_connection(
     environment,
 ):
