Keep service times by route and service, and check them

Cause: service times were kept by the route's name for the life of the process, and a request whose time is shorter than the estimate is refused at once. Refused requests give no sample, so nothing corrected the estimate.

Times now belong to a route at one service and are dropped when the configuration no longer contains them. Without a sample for 1 s, one request is sent to a free slot against the estimate, and a faster answer replaces it, so that no estimate refuses for good.

--- a/egretmill/host/exchange.py
+++ b/egretmill/host/exchange.py
@@ -102,8 +102,9 @@
 
     @property
     def service_times(self) -> ServiceTimes:
-        """Return the service times of the route."""
-        return self.state.service_times_for(self.accepted.route)
+        """Return the service times of the route at the service."""
+        accepted = self.accepted
+        return self.state.service_times_for(accepted.route, accepted.service)
 
     async def _run(self) -> Result[Response, Refusal]:
         if self.pending.head.has_body:
@@ -128,7 +129,7 @@
             return Refusal.not_run(
                 failure, state.share.active_in_s(state.now())
             )
-        max_wait_s = self.remaining_s - self.service_times.warm_s
+        max_wait_s = max(self.remaining_s - self.service_times.warm_s, 0)
         admitted = state.accounts.admit(account, state.now(), max_wait_s)
         if isinstance(admitted, Limited):
             admitted = await state.tokens.acquire(
@@ -430,14 +431,15 @@
     exchange: Exchange, selected: SelectedUpstream, took_s: float
 ) -> None:
     """Record the latency for the service times and the upstream's load."""
+    now = exchange.state.now()
     if selected.has_free_slot:
         service_s = max(took_s - selected.rtt_s, MIN_SERVICE_TIME_SAMPLE_S)
-        exchange.service_times.add(service_s, warm=selected.is_warm)
+        exchange.service_times.add(service_s, now, warm=selected.is_warm)
     selected.load.record_response(
         exchange.accepted.object_key,
         took_s,
         selected.expected_s,
-        exchange.state.now(),
+        now,
     )
 
 
--- a/egretmill/host/state.py
+++ b/egretmill/host/state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import itertools
 import math
 from collections.abc import Callable
 
@@ -41,6 +42,10 @@
 ROSTER_DIGESTS_CACHE_SIZE = 8
 
 
+#: Authority, path prefix and name of a route, and a service.
+WorkKey = tuple[str, str, str, str]
+
+
 def ignore_upstream(upstream: Upstream) -> None:
     """Ignore an upstream."""
 
@@ -57,6 +62,7 @@
         are refused, because they could still be at work when the host ends.
     :param accepting: connections of callers can be accepted.
     :param accept_failures: connections that could not be accepted so far.
+    :param work: service times of the requests of routes, by route and service.
     :param awaited_bodies: requests that wait for their body to arrive.
     """
 
@@ -72,7 +78,7 @@
     pool: UpstreamPool
     tokens: RemoteTokens
     limits_of_upstreams: UpstreamLimits
-    work: dict[str, ServiceTimes] = dataclasses.field(default_factory=dict)
+    work: dict[WorkKey, ServiceTimes] = dataclasses.field(default_factory=dict)
     urgent_waits: UrgentWaits = dataclasses.field(default_factory=UrgentWaits)
     incarnation: int = 0
     suspects: frozenset[str] = frozenset()
@@ -161,6 +167,7 @@
             limits.idle_s,
         )
         self.pool.apply_services(configuration.services)
+        self.work = _keep_current(self.work, configuration)
         self.metrics.version.set(configuration.version)
         return True
 
@@ -175,15 +182,16 @@
         fraction = self.share.fraction(self.now())
         self.budget.allowance = planned * fraction
 
-    def service_times_for(self, route: Route) -> ServiceTimes:
-        """Return a route's service times, at first based on its target."""
-        service_times = self.work.get(route.name)
+    def service_times_for(self, route: Route, service: str) -> ServiceTimes:
+        """Return a route's times at a service, at first from its target."""
+        key = _work_key(route, service)
+        service_times = self.work.get(key)
         if service_times is None:
             service_times = ServiceTimes.from_target(
                 route.target_latency_s,
                 route.timeout_s,
             )
-            self.work[route.name] = service_times
+            self.work[key] = service_times
         return service_times
 
     def is_designated_reader(self) -> bool:
@@ -218,6 +226,24 @@
         self.pool.remove(upstream)
 
 
+def _keep_current(
+    work: dict[WorkKey, ServiceTimes], configuration: FleetConfiguration
+) -> dict[WorkKey, ServiceTimes]:
+    """Drop the times of removed routes, which may come back as others."""
+    kept = {}
+    for route in itertools.chain.from_iterable(configuration.routes.values()):
+        for destination in route.destinations:
+            key = _work_key(route, destination.service)
+            service_times = work.get(key)
+            if service_times is not None:
+                kept[key] = service_times
+    return kept
+
+
+def _work_key(route: Route, service: str) -> WorkKey:
+    return route.authority, route.prefix, route.name, service
+
+
 @functools.lru_cache(maxsize=ROSTER_DIGESTS_CACHE_SIZE)
 def _roster_digest(*names: frozenset[str]) -> int:
     return _digest_text('/'.join(','.join(sorted(group)) for group in names))
--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -99,7 +99,9 @@
         if best is None:
             return self._make_rejection(order)
         excess_s = self._excess_wait_s(best)
-        return NoCapacity(excess_s) if excess_s > 0 else best
+        if excess_s <= 0 or self._can_probe(best):
+            return best
+        return NoCapacity(excess_s)
 
     def _find_cheapest(
         self,
@@ -174,6 +176,12 @@
         )
         return max(candidate.wait_s - max_wait_s, lateness_s)
 
+    def _can_probe(self, candidate: SelectedUpstream) -> bool:
+        """Return whether to send a request that only an estimate refuses."""
+        return candidate.has_free_slot and self.service_times.start_probe(
+            self.now
+        )
+
     def _is_full(self, load: UpstreamLoad) -> bool:
         limit = MAX_REQUESTS_PER_SLOT * max(load.record.slots, 1)
         return load.estimated_requests(self.now) >= limit
--- a/egretmill/simulation/hosts.py
+++ b/egretmill/simulation/hosts.py
@@ -94,7 +94,8 @@
         response_s = now - request.sent_at
         if selected.has_free_slot:
             service_s = response_s - selected.rtt_s
-            self.times_of(request).add(service_s, warm=selected.is_warm)
+            times = self.times_of(request)
+            times.add(service_s, now, warm=selected.is_warm)
         selected.load.record_response(
             request.object_key, response_s, selected.expected_s, now
         )
--- a/tests/host/fakes.py
+++ b/tests/host/fakes.py
@@ -84,7 +84,7 @@
     services = {'svc': Service('svc', cold_start_s=3, cold_per_s=13)}
     return FleetConfiguration(
         version,
-        {'h': ROUTES},
+        {'h': changes.get('routes', ROUTES)},
         changes.get('accounts', accounts),
         services,
     )
--- a/tests/host/test_exchange.py
+++ b/tests/host/test_exchange.py
@@ -9,15 +9,21 @@
 from result import Err, Ok
 
 from egretmill.errors import ErrorKind, Outcome
+from egretmill.fleet.configuration import Destination
 from egretmill.fleet.upstreams import UpstreamState
 from egretmill.host.exchange import Exchange
 from egretmill.host.request_check import check_request
 from egretmill.host.event_loop import BootLoop
 from egretmill.http1 import Body
 from soak.links import TcpLink
-from egretmill.placement import ServiceTimes
 from egretmill.placement.health import Health
-from tests.host.fakes import make_head, make_state, upstream
+from tests.host.fakes import (
+    READS,
+    configuration,
+    make_head,
+    make_state,
+    upstream,
+)
 
 SIGNED = b'X-Signature: s\r\n'
 NOT_RUN = b'X-Not-Run: 1\r\n'
@@ -250,7 +256,10 @@
 
 def expect_fast_responses(state):
     """Make the host expect responses within milliseconds."""
-    state.work['reads'] = ServiceTimes(0.01, 0.02)
+    route = state.configuration.match('h', '/r/1')
+    service_times = state.service_times_for(route, 'svc')
+    service_times.warm_s = 0.01
+    service_times.cold_s = 0.02
 
 
 def exhaust_retries(state):
@@ -470,3 +479,43 @@
     ended, sent = run(*servers, change=leave_after_the_first_attempt)
     assert sent == 2
     assert ended.ok_value.status == 200
+
+
+def test_route_that_comes_back_at_another_service_is_served():
+    """Guards against refusals by the service times of an earlier route.
+
+    The configuration replaces a slow route by a fast one of the same name.
+    """
+    slow = dataclasses.replace(
+        READS,
+        destinations=(Destination('slow'),),
+        timeout_s=6.0,
+        target_latency_s=4.0,
+    )
+    fast = dataclasses.replace(READS, timeout_s=0.3)
+
+    def replace_route(state):
+        state.apply_configuration(configuration(2, routes=(slow,)))
+        request = check_request(make_head(), state, random.Random(1)).ok_value
+        slow_exchange = Exchange(state, Pending(make_head(), b''), request)
+        assert slow_exchange.service_times.warm_s > fast.timeout_s
+        state.apply_configuration(configuration(3, routes=(fast,)))
+
+    ended, sent = run(ScriptedUpstream(response()), change=replace_route)
+    assert sent == 1
+    assert isinstance(ended, Ok)
+
+
+def test_route_that_was_removed_comes_back_without_its_service_times():
+    """Guards against refusals by what a removed route took at a service."""
+
+    def replace_route(state):
+        request = check_request(make_head(), state, random.Random(1)).ok_value
+        first = Exchange(state, Pending(make_head(), b''), request)
+        first.service_times.warm_s = 60
+        state.apply_configuration(configuration(2, routes=()))
+        state.apply_configuration(configuration(3))
+        assert first.service_times.warm_s < READS.timeout_s
+
+    ended, _ = run(ScriptedUpstream(response()), change=replace_route)
+    assert isinstance(ended, Ok)
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -298,3 +298,28 @@
         ObservationKind.SHED, NOW, report=LoadReport(SLOTS, 2, SLOTS)
     )
     assert chosen_name(order) == 'u1'
+
+
+def test_estimate_that_refuses_all_requests_is_checked():
+    """Guards against a route that is refused for good by what it once took.
+
+    Requests that are refused give no sample, so nothing else corrects it.
+    """
+    late = selector(remaining_s=1.2)
+    late.service_times.warm_s = 2.5
+    order = idle_upstreams(1)
+    assert isinstance(late.choose(order), SelectedUpstream)
+    assert isinstance(late.choose(order), NoCapacity)
+    later = dataclasses.replace(late, now=NOW + 2)
+    assert isinstance(later.choose(order), SelectedUpstream)
+    late.service_times.add(0.05, NOW + 2.1, warm=False)
+    assert isinstance(later.choose(order), SelectedUpstream)
+    assert isinstance(later.choose(order), SelectedUpstream)
+
+
+def test_full_upstream_is_not_sent_a_request_to_check_an_estimate():
+    """Guards against requests that are late for certain."""
+    order = idle_upstreams(1)
+    send_unanswered(order[0], SLOTS + 1)
+    late = selector(remaining_s=0.05)
+    assert isinstance(late.choose(order), NoCapacity)
