Send requests whose target is below the round trip

Seen by callers: on a route whose target latency is below the round trip to all upstreams, each request is refused with 503, however idle they are.

Cause: the round trip was subtracted from the target, and the longest wait for a slot became negative, so that a wait of zero exceeded it.

Evidence: test_target_below_the_round_trip_is_no_reason_to_refuse fails before (NoCapacity) and passes now: the remaining target is zero at least, and a request that finds a free slot does not wait.

--- a/egretmill/placement/choice.py
+++ b/egretmill/placement/choice.py
@@ -164,8 +164,10 @@
         but makes all requests late. A request that finds a free slot is sent
         even if it may miss the target: its service time is only an estimate.
         """
+        # A target below the round trip is missed wherever the request goes.
+        target_s = max(self.target_s - candidate.rtt_s, 0)
         max_wait_s = min(
-            self.service_times.max_wait_s(self.target_s - candidate.rtt_s),
+            self.service_times.max_wait_s(target_s),
             self.wait_limit_s,
         )
         lateness_s = (
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -323,3 +323,12 @@
     send_unanswered(order[0], SLOTS + 1)
     late = selector(remaining_s=0.05)
     assert isinstance(late.choose(order), NoCapacity)
+
+
+def test_target_below_the_round_trip_is_no_reason_to_refuse():
+    """Guards against a route that is refused for good for its distance."""
+    round_trips = RoundTrips()
+    round_trips.add('far', 0.4)
+    far = UpstreamLoad(record('u0', region='far'))
+    request = dataclasses.replace(selector(), round_trips=round_trips)
+    assert isinstance(request.choose([far]), SelectedUpstream)
