Let callers wait only for connections without a request yet

Room is expected only from connections that have not sent their first request; each is answered or closed within 0.5 s, and none is accepted meanwhile, so the wait is bounded.

--- a/egretmill/host/callers.py
+++ b/egretmill/host/callers.py
@@ -37,17 +37,15 @@
         return self.limit - len(self.open)
 
     @property
-    def has_unused(self) -> bool:
-        """Return whether there is a connection without an awaited answer.
+    def has_new(self) -> bool:
+        """Return whether a caller has yet to send its first request.
 
-        It is closed when it has been idle for long enough.
+        Its connection is closed as idle unless it does.
         """
-        now = self.now()
-        unused = itertools.chain(
-            self._unused_since(now, receiving=False),
-            self._unused_since(now, receiving=True),
+        return any(
+            connection.is_new and not connection.is_closed
+            for connection in self.idle
         )
-        return next(unused, None) is not None
 
     def add(self, connection: ServerConnection) -> None:
         """Track a new connection, which is idle."""
--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -67,8 +67,8 @@
         """Accept the waiting connections, as many as there is room for.
 
         Idle connections are closed to make room. The waiting ones stay while
-        others have yet to send a request: those are answered, or closed as
-        idle. Without any, the waiting ones stay for a pause, in which
+        others have yet to send their first request: those are answered, or
+        closed as idle. Without any, the waiting ones stay for a pause, in which
         connections of refused requests close. Then they are closed unserved.
         """
         connections = self.handler.connections
@@ -126,7 +126,7 @@
 
     def _wait_for_room(self) -> None:
         """Pause; refuse those who wait if no room is to be expected."""
-        expects_room = self.starting or self.handler.connections.has_unused
+        expects_room = self.starting or self.handler.connections.has_new
         refused = 0
         if self.was_full and not expects_room:
             refused = self._refuse_waiting()
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import errno
+import re
 import socket
 
 import pytest
@@ -11,6 +12,7 @@
 from egretmill.host.entry_listener import (
     ACCEPT_PAUSE_S,
     MAX_ACCEPTED_AT_ONCE,
+    MIN_IDLE_S,
     EntryListener,
 )
 from egretmill.host.handler import EntryHandler
@@ -18,9 +20,11 @@
 from egretmill.listening import ListeningSocket
 from tests.host.fakes import make_state
 from tests.http1.harness import ADDRESS, wait_until
+from tests.misbehaving import keep_tasks
 
 CALLERS = 3 * MAX_ACCEPTED_AT_ONCE
 ANSWER_S = 5
+CONTENT_LENGTH = re.compile(rb'Content-Length: (\d+)')
 REQUEST = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
@@ -142,3 +146,25 @@
         assert head.startswith(b'HTTP/1.1 404 ')
         assert listener.state.accept_failures == 0
         writer.close()
+
+
+async def test_connections_in_use_keep_no_new_caller_waiting(listener):
+    """Guards against callers that wait behind connections without a pause."""
+    listener.handler.connections.limit = 1
+    address = listener.socket.getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+
+    async def keep_asking():
+        while True:
+            writer.write(REQUEST)
+            head = await reader.readuntil(b'\r\n\r\n')
+            await reader.readexactly(int(CONTENT_LENGTH.search(head)[1]))
+            await asyncio.sleep(MIN_IDLE_S / 5)
+
+    asking = asyncio.create_task(keep_asking())
+    await wait_until(lambda: listener.handler.connections.room == 0)
+    late_reader, late_writer = await asyncio.open_connection(*address)
+    async with keep_tasks([asking]), asyncio.timeout(ANSWER_S):
+        assert not await late_reader.read()
+    late_writer.close()
+    writer.close()
