Let callers wait while answered connections may close

Seen by callers: a reset in place of an answer, as before.

Cause, from the log of that host: 64 waiting connections were closed on 4.7 s after its first request, with "no room for callers". Room was expected from connections without a request only. Connections whose callers have yet to read an answer and close, and those that are closing, hold it as well, for longer on a loaded machine, and the wait ended after a pause of 50 ms.

The listener now waits up to 0.55 s, the time after which a connection counts as idle and a pause, while any connection awaits no answer. The wait is bounded whatever those do, so that connections in use hold no caller up.

The test of connections in use marks them idle after each answer, as served requests do; with refusals only they counted as idle since they connected.

--- a/egretmill/host/callers.py
+++ b/egretmill/host/callers.py
@@ -37,15 +37,9 @@
         return self.limit - len(self.open)
 
     @property
-    def has_new(self) -> bool:
-        """Return whether a caller has yet to send its first request.
-
-        Its connection is closed as idle unless it does.
-        """
-        return any(
-            connection.is_new and not connection.is_closed
-            for connection in self.idle
-        )
+    def has_unused(self) -> bool:
+        """Return whether there is a connection without an awaited answer."""
+        return any(not connection.queue for connection in self.open)
 
     def add(self, connection: ServerConnection) -> None:
         """Track a new connection, which is idle."""
--- a/egretmill/host/entry_listener.py
+++ b/egretmill/host/entry_listener.py
@@ -24,6 +24,8 @@
 MIN_IDLE_S = 0.5
 #: Pause in which descriptors become free, in seconds.
 ACCEPT_PAUSE_S = 0.05
+#: Longest wait for connections that may close or become idle, in seconds.
+MAX_WAIT_S = MIN_IDLE_S + ACCEPT_PAUSE_S
 
 
 class EntryListener:
@@ -41,8 +43,8 @@
         self.loop = asyncio.get_running_loop()
         self.socket: ListeningSocket | None = None
         self.starting: set[asyncio.Task[None]] = set()
-        #: There was no room before the last pause, and none was expected.
-        self.was_full = False
+        #: Since when there has been no room; ``None`` if there is.
+        self.full_since: float | None = None
 
     def open(self) -> None:
         """Listen on the entry address.
@@ -66,10 +68,10 @@
     def accept_waiting(self) -> None:
         """Accept the waiting connections, as many as there is room for.
 
-        Idle connections are closed to make room. The waiting ones stay while
-        others have yet to send their first request: those are answered, or
-        closed as idle. Without any, the waiting ones stay for a pause, in which
-        connections of refused requests close. Then they are closed unserved.
+        Idle connections are closed to make room. The waiting ones stay until
+        those without an awaited answer have closed or count as idle; if there
+        are none, for a pause, in which connections of refused requests close.
+        Then they are closed unserved.
         """
         connections = self.handler.connections
         room = connections.room - len(self.starting)
@@ -84,7 +86,7 @@
             if not closed:
                 self._wait_for_room()
             return
-        self.was_full = False
+        self.full_since = None
         for _ in range(min(room, MAX_ACCEPTED_AT_ONCE)):
             try:
                 accepted = self._accept()
@@ -125,14 +127,16 @@
             log_event(events.CATALOGUE.ACCEPT_FAILED, error=str(error))
 
     def _wait_for_room(self) -> None:
-        """Pause; refuse those who wait if no room is to be expected."""
-        expects_room = self.starting or self.handler.connections.has_new
-        refused = 0
-        if self.was_full and not expects_room:
+        """Pause; refuse those who have waited for as long as they may."""
+        now = self.loop.time()
+        if self.full_since is None:
+            self.full_since = now
+        can_close = self.handler.connections.has_unused
+        max_wait_s = MAX_WAIT_S if can_close else 0
+        if now - self.full_since > max_wait_s:
             refused = self._refuse_waiting()
-        if refused:
-            self._record_failure('no room for callers', refused)
-        self.was_full = not expects_room
+            if refused:
+                self._record_failure('no room for callers', refused)
         self._pause()
 
     def _handle_failure(self, error: OSError) -> None:
--- a/tests/host/test_entry_listener.py
+++ b/tests/host/test_entry_listener.py
@@ -150,7 +150,8 @@
 
 async def test_connections_in_use_keep_no_new_caller_waiting(listener):
     """Guards against callers that wait behind connections without a pause."""
-    listener.handler.connections.limit = 1
+    connections = listener.handler.connections
+    connections.limit = 1
     address = listener.socket.getsockname()
     reader, writer = await asyncio.open_connection(*address)
 
@@ -159,12 +160,32 @@
             writer.write(REQUEST)
             head = await reader.readuntil(b'\r\n\r\n')
             await reader.readexactly(int(CONTENT_LENGTH.search(head)[1]))
+            for connection in connections:
+                connections.mark_idle(connection)
             await asyncio.sleep(MIN_IDLE_S / 5)
 
     asking = asyncio.create_task(keep_asking())
-    await wait_until(lambda: listener.handler.connections.room == 0)
+    await wait_until(lambda: connections.room == 0)
     late_reader, late_writer = await asyncio.open_connection(*address)
     async with keep_tasks([asking]), asyncio.timeout(ANSWER_S):
         assert not await late_reader.read()
     late_writer.close()
     writer.close()
+
+
+async def test_new_caller_is_not_reset_while_answered_ones_may_close(listener):
+    """Guards against resets of new callers while others read their answers."""
+    connections = listener.handler.connections
+    connections.limit = 1
+    address = listener.socket.getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(REQUEST)
+    await reader.readuntil(b'\r\n\r\n')
+    late_reader, late_writer = await asyncio.open_connection(*address)
+    late_writer.write(REQUEST)
+    await asyncio.sleep(4 * ACCEPT_PAUSE_S)
+    writer.close()
+    async with asyncio.timeout(ANSWER_S):
+        head = await late_reader.readuntil(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 404 ')
+    late_writer.close()
